--- /dev/null
+++ b/src/main/java/garnetreel/Control.java
@@ -0,0 +1,931 @@
+package garnetreel;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * All decisions of one host; the events, actions and settings are in {@link Scheduler} (Scheduler.java).
+ *
+ * <p>The ordinary path is the virtual-time fair queueing of docs/design.md: volumes are flows, each lane (one a shard)
+ * is a node's queue, a node's tokens are filled from the longest eligible queue. Around it stand the guards: what to
+ * refuse, how deep a node's window is, cold and suspect nodes, limits, key order and the budget of further attempts.
+ */
+public final class Control implements Scheduler {
+    /** T: units over weight a flow may be ahead; a few mean requests, so that a run stays together. */
+    private static final double AHEAD = 10;
+    /** alpha: mean arrival gaps for which an emptied flow still counts as active. */
+    private static final double LINGER_GAPS = 2;
+    /** How long an emptied flow stays active before its mean gap is known. */
+    private static final long LINGER_FIRST = 1_000_000;
+    /** Most attempts counted in a window, and most out at one node in all, stuck ones included. */
+    private static final double WINDOW_MAX = 6;
+    private static final int OUT_MAX = 8;
+    private static final double WINDOW_START = 2;
+    /** An answer slower than this share of the tightest aim shrinks the window, one faster than the next lets it grow. */
+    private static final double SLOW = 0.5;
+    private static final double QUICK = 0.3;
+    private static final double SHRINK = 0.8;
+    private static final double GROW = 0.25;
+    /** Memory of a node's pace, per answer; about the last ten answers count. */
+    private static final double PACE_KEEP = 0.9;
+    /** Units that fit into the tightest aim, until a node's pace is known. */
+    private static final double PACE_START = 20;
+    /** Share of the estimated wait that must fit before the aim; below 1 since the estimate holds all that waits. */
+    private static final double CAUTION = 1.0;
+    /** Silence after which a node is suspect: well past the pauses that nodes make, and past the expected answer. */
+    private static final long SILENCE = 500_000;
+    private static final double SILENCE_TIMES = 4;
+    /** Failures to connect in a row that make a node suspect; one may be a full connection table. */
+    private static final int CONNECT_STREAK = 2;
+    /** A node silent for so long that answers again has probably restarted; pauses and jams are shorter. */
+    private static final long RESTART_SILENCE = 2_000_000;
+    /** Time between trials of a suspect node: first, and at most. */
+    private static final long TRIAL_FIRST = 100_000;
+    private static final long TRIAL_MOST = 1_000_000;
+    /** Back-off between asks for the list: first, and at most. */
+    private static final long ASK_FIRST = 500_000;
+    private static final long ASK_MOST = 4_000_000;
+    /** Look again after this long while something is held, and after the longer one while something is out. */
+    private static final long LOOK_HELD = 5_000;
+    private static final long LOOK_OUT = 50_000;
+    /** Sliding windows are counted a little longer than stated, against sends that arrive bunched. */
+    private static final double WINDOW_SLACK = 1.05;
+    /** A request's tries, when it is not first, are inferred from a shorter wait; below this share it is jitter. */
+    private static final double AGE_NOISE = 0.02;
+    /** Share store: units past the reserve that count as inside the share, as a multiple of the plan's usual rate. */
+    private static final double SHARE_RATE = 1.0;
+    /** A flow unused for this long is forgotten. */
+    private static final long FORGET = 60_000_000;
+    private static final int REMARKS = 60;
+
+    private final Settings settings;
+    private final Rules rules;
+    private final Random random;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Map<String, Plan> plans = new HashMap<>();
+    private final Map<String, Long> longestWait = new HashMap<>();
+    private final Map<Long, Request> requests = new LinkedHashMap<>();
+    private final Map<Long, Flow> flows = new LinkedHashMap<>();
+    private final Map<String, Node> nodes = new TreeMap<>();
+    private final Map<Integer, Lane> lanes = new TreeMap<>();
+    private final Map<Long, KeyLine> keys = new LinkedHashMap<>();
+    private final ArrayDeque<Long> taken = new ArrayDeque<>();
+    private final ArrayDeque<Long> extras = new ArrayDeque<>();
+    private final long tightestAim;
+    private List<Action> out = new ArrayList<>();
+    private long now;
+    private long bornAt;
+    private boolean begun;
+    private double globalVt;
+    private long sequence;
+    private long alarmAt = Long.MAX_VALUE;
+    private long sweptAt;
+    private int remarks;
+    private boolean watching;
+    private long askAt;
+    private long askPause = ASK_FIRST;
+
+    public Control(Settings settings, long seed) {
+        this.settings = settings;
+        this.rules = settings.rules();
+        this.random = new Random(seed);
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+        settings.plans().forEach(p -> plans.put(p.name(), p));
+        tightestAim = settings.classes().stream().mapToLong(RequestClass::aim).filter(a -> a > 0).min().orElse(500_000);
+    }
+
+    // ---------------------------------------------------------------- state
+
+    /** A store of units that fills at a rate up to a cap. */
+    private static final class Store {
+        private final double rate;
+        private final double cap;
+        private double level;
+        private long at;
+
+        Store(double rate, double cap, double level, long at) {
+            this.rate = rate;
+            this.cap = cap;
+            this.level = Math.min(cap, level);
+            this.at = at;
+        }
+
+        double level(long now) {
+            level = Math.min(cap, level + rate * (now - at) / 1e6);
+            at = now;
+            return level;
+        }
+
+        void draw(double units) {
+            level = Math.max(-cap, Math.min(cap, level - units));
+        }
+    }
+
+    /** A volume: one virtual time, and its stores. */
+    private static final class Flow {
+        private final double weight;
+        private final Store reserve;
+        private final Store share;
+        private final Store limit;
+        private double vt;
+        private int held;
+        private int inFlight;
+        private long emptiedAt;
+        private long lastArrival = -1;
+        private double meanGap = -1;
+        private long activeUntil = Long.MIN_VALUE;
+        /** Scratch of one pass over a lane: queue length there, and the oldest request that may leave. */
+        private int queue;
+        private Request first;
+
+        Flow(double weight, Store reserve, Store share, Store limit) {
+            this.weight = weight;
+            this.reserve = reserve;
+            this.share = share;
+            this.limit = limit;
+        }
+
+        boolean active(long now) {
+            return held > 0 || now <= activeUntil;
+        }
+    }
+
+    /** A request that is not over, or that still has an attempt out. */
+    private static final class Request {
+        private long id;
+        private long order;
+        private RequestClass kind;
+        private Plan plan;
+        private Flow flow;
+        private Lane lane;
+        private KeyLine line;
+        private long validUntil;
+        private long due;
+        private double units;
+        private double worth;
+        private Store from;
+        private boolean held;
+        private boolean over;
+        private boolean streaming;
+        private boolean drawn;
+        private int open;
+        private int unproven;
+        private long firstRun;
+        private Node ranAt;
+        private long notBefore;
+        private final List<Attempt> attempts = new ArrayList<>(1);
+    }
+
+    /** One send; {@code ahead} is what this host had out at the node then, itself included. */
+    private static final class Attempt {
+        private final Request request;
+        private final Node node;
+        private final long sentAt;
+        private final double ahead;
+        private boolean open = true;
+        private boolean stuck;
+
+        Attempt(Request request, Node node, long sentAt, double ahead) {
+            this.request = request;
+            this.node = node;
+            this.sentAt = sentAt;
+            this.ahead = ahead;
+        }
+    }
+
+    /** What is held for one shard. */
+    private static final class Lane {
+        private final int shard;
+        private final List<Request> held = new ArrayList<>();
+
+        Lane(int shard) {
+            this.shard = shard;
+        }
+    }
+
+    /** A node: its window, its pace, and what is believed of its health. */
+    private static final class Node {
+        private final String address;
+        private String zone = "";
+        private int shard;
+        private boolean usable;
+        private long startedAt;
+        private double window = WINDOW_START;
+        private double paceTime;
+        private double paceUnits;
+        private long shrunkAt;
+        private final List<Attempt> out = new ArrayList<>();
+        private double outUnits;
+        private int stuck;
+        private int connectStreak;
+        private boolean suspect;
+        private boolean brokenOff;
+        private long suspectSince;
+        private long lastAnswer = Long.MIN_VALUE;
+        private long lastBad;
+        private long trialAt;
+        private long trialPause = TRIAL_FIRST;
+        /** Sends within the fall window: pairs of time and units. */
+        private final ArrayDeque<double[]> recent = new ArrayDeque<>();
+        private double recentUnits;
+
+        Node(String address) {
+            this.address = address;
+        }
+
+        /** Time a unit takes to get through with what is out here. */
+        double pace() {
+            return paceTime / paceUnits;
+        }
+
+        double tokens() {
+            return Math.min(window - (out.size() - stuck), OUT_MAX - out.size());
+        }
+    }
+
+    /** Requests of ordered classes with one key, in the order taken. */
+    private static final class KeyLine {
+        private final ArrayDeque<Request> waiting = new ArrayDeque<>();
+        private Request resting;
+        private long restUntil;
+    }
+
+    // ---------------------------------------------------------------- events
+
+    @Override
+    public List<Action> turn(long at, List<? extends Event> events) {
+        now = Math.max(now, at);
+        out = new ArrayList<>();
+        if (!begun) {
+            begun = true;
+            bornAt = now;
+            sweptAt = now;
+            askAt = now;
+        }
+        for (Event event : events) {
+            if (event instanceof Arrived arrived) {
+                arrived(arrived);
+            } else if (event instanceof Ended ended) {
+                ended(ended);
+            } else if (event instanceof NodeNews news) {
+                news(news);
+            } else if (event instanceof Abandoned gone) {
+                close(requests.get(gone.id()));
+            } else if (event instanceof StreamBegan began && requests.get(began.id()) != null) {
+                requests.get(began.id()).streaming = true;
+            } else if (event instanceof Alarm && now >= alarmAt) {
+                alarmAt = Long.MAX_VALUE;
+            }
+        }
+        followList();
+        expire();
+        nodes.values().forEach(this::watchSilence);
+        for (Lane lane : lanes.values()) {
+            shed(lane);
+            dispatch(lane);
+        }
+        sweep();
+        setAlarm();
+        return out;
+    }
+
+    private void setAlarm() {
+        long next = settings.subscribe() && !watching ? Math.max(askAt, now + LOOK_HELD) : Long.MAX_VALUE;
+        for (Request request : requests.values()) {
+            next = Math.min(next, now + (request.held ? LOOK_HELD : LOOK_OUT));
+            if (!request.over && !request.streaming) {
+                next = Math.min(next, Math.max(now, request.validUntil - lead()));
+            }
+        }
+        if (next < alarmAt) {
+            alarmAt = next;
+            out.add(new SetAlarm("look", Math.max(settings.tick(), next - now)));
+        }
+    }
+
+    private void remark(String text) {
+        if (remarks++ < REMARKS) {
+            out.add(new Remark(text));
+        }
+    }
+
+    // ---------------------------------------------------------------- the node list
+
+    /** Subscribes once; a failed call or a broken subscription is asked for again with jittered back-off. */
+    private void followList() {
+        if (settings.subscribe() && !watching && now >= askAt) {
+            out.add(new Watch(true));
+            askAt = now + Math.max(ASK_MOST, rules.askEvery());
+        }
+    }
+
+    private void news(NodeNews news) {
+        if (news.kind() == ListKind.REFUSED) {
+            watching = false;
+            askAt = now + (long) (askPause * (0.5 + random.nextDouble()));
+            askPause = Math.min(ASK_MOST, 2 * askPause);
+            remark("node list: call refused or subscription broken, asking again");
+            return;
+        }
+        if (news.kind() != ListKind.REMEMBERED) {
+            watching = true;
+            askPause = ASK_FIRST;
+        }
+        if (news.kind() != ListKind.CHANGES) {
+            nodes.values().forEach(n -> n.usable = false);
+        }
+        for (NodeEntry entry : news.entries()) {
+            Node node = nodes.computeIfAbsent(entry.address(), Node::new);
+            if (node.paceUnits == 0) {
+                node.paceUnits = PACE_START;
+                node.paceTime = tightestAim;
+            }
+            node.zone = entry.zone();
+            node.shard = entry.shard();
+            node.usable = entry.state() == NodeState.UP;
+            if (entry.startedAt() > node.startedAt) {
+                node.startedAt = entry.startedAt();
+                node.window = 1;
+                node.trialAt = now;
+                if (now == bornAt) {
+                    note(node, coldLimit(node)); // what this host sent before its own restart is unknown
+                }
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- requests
+
+    private void arrived(Arrived event) {
+        if (rules.extraWindow() > 0) {
+            taken.add(now);
+        }
+        if (requests.containsKey(event.id())) {
+            return;
+        }
+        Request request = new Request();
+        long span = event.validUntil() - now;
+        request.id = event.id();
+        request.order = sequence++;
+        request.kind = classes.getOrDefault(event.className(), new RequestClass(event.className(), span, 0, span,
+                Effect.ONCE, Group.CELL, 0, false, 0, 1, false, event.write()));
+        request.plan = plans.getOrDefault(event.plan(), new Plan(event.plan(), 0, 0, 0, 1, 0, 0, 1));
+        request.validUntil = event.validUntil();
+        request.units = Double.isFinite(event.units()) && event.units() > 0 ? event.units() : 1;
+        requests.put(request.id, request);
+        request.flow = flow(event, request.plan);
+        request.lane = lane(event.shard());
+        judge(request, span, event.repeat());
+        Flow flow = request.flow;
+        if (flow.lastArrival >= 0) {
+            double gap = now - flow.lastArrival;
+            flow.meanGap = flow.meanGap < 0 ? gap : 0.8 * flow.meanGap + 0.2 * gap;
+        }
+        flow.lastArrival = now;
+        if (!flow.active(now)) {
+            flow.vt = Math.max(flow.vt, globalVt());
+        }
+        if (request.kind.inOrder() && event.key() >= 0) {
+            request.line = keys.computeIfAbsent(event.key(), k -> new KeyLine());
+            request.line.waiting.add(request);
+        }
+        hold(request);
+        if (beyondLimit(request)) {
+            giveUp(request);
+        }
+    }
+
+    /** When a request must be answered to earn its worth, and what that is for each unit. */
+    private void judge(Request request, long span, boolean repeat) {
+        RequestClass kind = request.kind;
+        long longest = longestWait.merge(kind.name(), Math.min(span, Math.max(span, kind.deadline())), Math::max);
+        long age = settings.marksRepeats() && !repeat || longest - span < AGE_NOISE * longest ? 0 : longest - span;
+        request.due = now - age + kind.aim();
+        request.worth = kind.worth() * request.plan.worthFactor();
+        Node node = pick(request.lane);
+        double own = node == null ? 0 : request.units * node.pace() / Math.max(1, node.window);
+        if (request.due < now + own / 2) {
+            request.due = request.validUntil - lead();
+            request.worth *= kind.lateShare() * settings.idleWorth();
+        } else if (claim(request, request.flow.reserve)) {
+            request.worth *= 1;
+        } else if (claim(request, request.flow.share)) {
+            request.worth *= settings.shareWorth();
+        } else {
+            request.worth *= settings.idleWorth();
+        }
+        request.due = Math.min(request.due, request.validUntil - lead());
+    }
+
+    private boolean claim(Request request, Store store) {
+        if (store.level(now) < request.units / 2) {
+            return false;
+        }
+        store.draw(request.units);
+        request.from = store;
+        return true;
+    }
+
+    private Flow flow(Arrived event, Plan plan) {
+        return flows.computeIfAbsent(event.volume(), any -> {
+            int hosts = event.hosts() > 0 ? event.hosts() : settings.hosts();
+            double part = 1.0 / Math.max(1, hosts);
+            double seen = settings.tellsOthers() ? 1 : part;
+            Store reserve = new Store(plan.reserve() * seen, plan.reserve() * seen + settings.mostUnits(),
+                    Double.MAX_VALUE, now);
+            Store share = new Store(plan.rate() * SHARE_RATE * seen, plan.rate() * SHARE_RATE * seen
+                    + settings.mostUnits(), Double.MAX_VALUE, now);
+            // A restarted host must not have the burst again: the store counts as empty at this host's start.
+            Store limit = plan.limit() <= 0 ? null : new Store(plan.limit() * part, plan.burst() * part,
+                    plan.limit() * part * (now - bornAt) / 1e6, now);
+            return new Flow(plan.weight() > 0 ? plan.weight() : 1, reserve, share, limit);
+        });
+    }
+
+    /** The lane of a shard; a new object goes where this host has most free tokens. */
+    private Lane lane(int shard) {
+        int chosen = shard;
+        if (shard < 0) {
+            double best = Double.NEGATIVE_INFINITY;
+            for (Node node : nodes.values()) {
+                Lane lane = lanes.get(node.shard);
+                double free = node.tokens() - (lane == null ? 0 : lane.held.size());
+                if (node.usable && !node.suspect && free > best) {
+                    best = free;
+                    chosen = node.shard;
+                }
+            }
+        }
+        return lanes.computeIfAbsent(chosen, Lane::new);
+    }
+
+    private void hold(Request request) {
+        List<Request> held = request.lane.held;
+        int at = held.size();
+        while (at > 0 && held.get(at - 1).order > request.order) {
+            at--;
+        }
+        held.add(at, request);
+        request.held = true;
+        request.flow.held++;
+    }
+
+    private void release(Request request) {
+        if (request.held) {
+            request.held = false;
+            request.lane.held.remove(request);
+            Flow flow = request.flow;
+            if (--flow.held == 0) {
+                flow.emptiedAt = now;
+                flow.activeUntil = now + (flow.meanGap < 0 ? LINGER_FIRST : (long) (LINGER_GAPS * flow.meanGap));
+            }
+        }
+    }
+
+    /** The final answer of a request that is given up, at once: a refusal wherever the effect allows one. */
+    private void giveUp(Request request) {
+        if (request.over) {
+            return;
+        }
+        boolean harmless = request.unproven == 0 || request.kind.effect() == Effect.REPEATABLE
+                || request.kind.effect() == Effect.KEYED && request.kind.group() == Group.ALL;
+        out.add(harmless ? new Refuse(request.id, settings.maxStayAway()) : new Fail(request.id));
+        if (request.from != null) {
+            request.from.draw(-request.units);
+        }
+        close(request);
+    }
+
+    /** Marks a request as over, and forgets it once no attempt is out. */
+    private void close(Request request) {
+        if (request == null) {
+            return;
+        }
+        request.over = true;
+        release(request);
+        if (request.open == 0) {
+            requests.remove(request.id);
+            if (request.line != null) {
+                request.line.waiting.remove(request);
+            }
+        }
+    }
+
+    /** How long before the client's deadline the last word is said. */
+    private long lead() {
+        return 2 * settings.tick();
+    }
+
+    /** Answers whatever is about to run out of time. */
+    private void expire() {
+        for (Request request : List.copyOf(requests.values())) {
+            if (!request.over && !request.streaming && now >= request.validUntil - lead()) {
+                giveUp(request);
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- outcomes
+
+    private void ended(Ended event) {
+        Request request = requests.get(event.id());
+        if (request == null || event.attempt() < 0 || event.attempt() >= request.attempts.size()) {
+            return;
+        }
+        Attempt attempt = request.attempts.get(event.attempt());
+        if (!attempt.open) {
+            return;
+        }
+        attempt.open = false;
+        request.open--;
+        request.flow.inFlight--;
+        Node node = attempt.node;
+        node.out.remove(attempt);
+        node.outUnits = node.out.isEmpty() ? 0 : node.outUnits - request.units;
+        node.stuck -= attempt.stuck ? 1 : 0;
+        if (event.outcome().provesNotRun()) {
+            request.unproven--;
+        } else if (request.line != null && (event.outcome() == Outcome.TIMEOUT || event.outcome() == Outcome.RESET
+                || event.outcome() == Outcome.CANCELLED || event.outcome() == Outcome.UNKNOWN)) {
+            request.line.resting = request;
+            request.line.restUntil = now + rules.keyQuiet();
+        }
+        if (settings.tellsOthers() && event.fromOthers() > 0) {
+            double beyond = Math.max(0, event.fromOthers() - Math.max(0, request.flow.reserve.level(now)));
+            request.flow.reserve.draw(event.fromOthers());
+            request.flow.share.level(now);
+            request.flow.share.draw(beyond);
+        }
+        judgeNode(node, attempt, event);
+        if (event.done() || request.over) {
+            close(request);
+        } else if (again(request, event.outcome())) {
+            hold(request);
+        } else {
+            giveUp(request);
+        }
+    }
+
+    /** Whether another attempt is allowed and worth it. */
+    private boolean again(Request request, Outcome outcome) {
+        if (request.attempts.size() >= settings.tryLimit() || now >= request.due || outcome == Outcome.TIMEOUT
+                || outcome == Outcome.CANCELLED || !mayResend(request) || !budgetLeft()) {
+            return false;
+        }
+        if (outcome == Outcome.FULL) {
+            request.notBefore = now + (long) (request.units * request.attempts.get(request.attempts.size() - 1).node.pace());
+        }
+        return true;
+    }
+
+    // ---------------------------------------------------------------- attempts
+
+    /** Whether the effect of what may have run allows another send at all. */
+    private boolean mayResend(Request request) {
+        return switch (request.unproven == 0 ? Effect.REPEATABLE : request.kind.effect()) {
+            case REPEATABLE -> true;
+            case KEYED -> now < request.firstRun + request.kind.window() - lead();
+            case ONCE -> false;
+        };
+    }
+
+    private boolean inGroup(Request request, Node node) {
+        if (request.unproven == 0 || request.kind.effect() == Effect.REPEATABLE || request.ranAt == node) {
+            return true;
+        }
+        return switch (request.kind.group()) {
+            case ALL -> true;
+            case ZONE -> request.ranAt.zone.equals(node.zone);
+            case CELL -> request.ranAt.shard == node.shard;
+        };
+    }
+
+    /** Further attempts are rationed: a few, plus a share of what was taken within the window. */
+    private boolean budgetLeft() {
+        if (rules.extraWindow() <= 0) {
+            return true;
+        }
+        while (!extras.isEmpty() && extras.peekFirst() < now - rules.extraWindow() * WINDOW_SLACK) {
+            extras.pollFirst();
+        }
+        while (!taken.isEmpty() && taken.peekFirst() < now - rules.extraWindow() / WINDOW_SLACK) {
+            taken.pollFirst();
+        }
+        return extras.size() + 1 <= rules.freeExtras() + rules.extraRatio() * taken.size();
+    }
+
+    /** Held units of a volume that its part of the limit cannot cover in time earn nothing: refused at once. */
+    private boolean beyondLimit(Request request) {
+        Store limit = request.flow.limit;
+        if (limit == null) {
+            return false;
+        }
+        double waiting = 0;
+        for (Lane lane : lanes.values()) {
+            for (Request other : lane.held) {
+                waiting += other.flow == request.flow && !other.drawn ? other.units : 0;
+            }
+        }
+        return limit.level(now) + limit.rate * Math.max(0, request.due - now) / 2e6 < waiting;
+    }
+
+    private void send(Request request, Node node) {
+        release(request);
+        if (!request.attempts.isEmpty() && rules.extraWindow() > 0) {
+            extras.add(now);
+        }
+        if (!request.drawn && request.flow.limit != null) {
+            request.flow.limit.draw(request.units);
+        }
+        request.drawn = true;
+        if (request.unproven == 0) {
+            request.firstRun = now;
+            request.ranAt = node;
+        }
+        request.unproven++;
+        request.open++;
+        request.flow.inFlight++;
+        request.flow.vt += request.units / request.flow.weight;
+        node.outUnits += request.units;
+        Attempt attempt = new Attempt(request, node, now, node.outUnits);
+        request.attempts.add(attempt);
+        node.out.add(attempt);
+        note(node, request.units);
+        if (node.suspect) {
+            node.trialAt = now + node.trialPause;
+            node.trialPause = Math.min(TRIAL_MOST, 2 * node.trialPause);
+        }
+        out.add(new Send(request.id, node.address, 0));
+    }
+
+    // ---------------------------------------------------------------- nodes: cold, suspect, deep
+
+    /** Units this host may send a node within the fall window; without end once the node must be warm. */
+    private double coldLimit(Node node) {
+        long age = now - node.startedAt;
+        if (node.startedAt <= 0 || rules.fall() <= 0 || age >= rules.warmWithin() + rules.fall()) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double base = settings.youngLimit() > 0 ? settings.youngLimit() : settings.meanUnits();
+        double cold = Math.max(0.01, Math.min(1, rules.coldShare()));
+        double present = cold + (1 - cold) * Math.max(0, age - rules.fall()) / Math.max(1.0, rules.warmWithin());
+        return base / Math.max(1, settings.hosts()) * Math.min(1, present) / cold;
+    }
+
+    private double coldRoom(Node node) {
+        double limit = coldLimit(node);
+        while (!node.recent.isEmpty() && node.recent.peekFirst()[0] < now - rules.fall() * WINDOW_SLACK) {
+            node.recentUnits -= node.recent.pollFirst()[1];
+        }
+        return limit - node.recentUnits;
+    }
+
+    private void note(Node node, double units) {
+        node.recent.add(new double[] {now, units});
+        node.recentUnits += units;
+        coldRoom(node);
+    }
+
+    /** Learns from an outcome. Only an answer that did the work says how fast a node is. */
+    private void judgeNode(Node node, Attempt attempt, Ended event) {
+        switch (event.outcome()) {
+            case OK -> {
+                answered(node);
+                learnPace(node, attempt, Math.max(1, event.elapsed()));
+            }
+            case ERROR -> answered(node);
+            case FULL -> {
+                answered(node);
+                node.window = 1;
+            }
+            case CONNECT_FAILED -> {
+                node.lastBad = now;
+                if (++node.connectStreak >= CONNECT_STREAK) {
+                    suspect(node, true);
+                }
+            }
+            case RESET -> suspect(node, true);
+            case TIMEOUT -> {
+                if (node.lastAnswer < attempt.sentAt && now - attempt.sentAt > SILENCE) {
+                    suspect(node, false);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private void learnPace(Node node, Attempt attempt, long elapsed) {
+        boolean wasFull = node.tokens() < 2;
+        node.paceTime = PACE_KEEP * node.paceTime + elapsed;
+        node.paceUnits = PACE_KEEP * node.paceUnits + attempt.ahead;
+        double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
+        double share = elapsed / size / tightestAim;
+        if (share > SLOW && attempt.sentAt >= node.shrunkAt) {
+            node.window = Math.max(1, node.window * SHRINK);
+            node.shrunkAt = now;
+        } else if (share < QUICK && wasFull) {
+            node.window = Math.min(WINDOW_MAX, node.window + GROW);
+        }
+    }
+
+    /** Any answer shows that the process runs; after signs of a restart it counts as just started, told or not. */
+    private void answered(Node node) {
+        node.lastAnswer = now;
+        node.connectStreak = 0;
+        if (node.suspect) {
+            node.suspect = false;
+            node.window = 1;
+            node.trialPause = TRIAL_FIRST;
+            if (node.brokenOff || now - node.suspectSince > RESTART_SILENCE) {
+                node.startedAt = Math.max(node.startedAt, node.lastBad);
+            }
+            remark("node " + node.address + ": answers again");
+        }
+    }
+
+    private void suspect(Node node, boolean brokenOff) {
+        node.lastBad = now;
+        node.brokenOff = node.suspect && node.brokenOff || brokenOff;
+        if (!node.suspect) {
+            node.suspect = true;
+            node.suspectSince = now;
+            node.trialAt = now + TRIAL_FIRST;
+            remark("node " + node.address + (brokenOff ? ": breaks connections" : ": silent") + ", one trial at a time");
+        }
+        for (Attempt attempt : node.out) {
+            node.stuck += attempt.stuck ? 0 : 1;
+            attempt.stuck = true;
+        }
+    }
+
+    /** A node that has answered nothing since an old attempt was sent, far past what it should take. */
+    private void watchSilence(Node node) {
+        if (node.out.isEmpty()) {
+            return;
+        }
+        Attempt oldest = node.out.get(0);
+        long patience = Math.max(SILENCE, (long) (SILENCE_TIMES * oldest.ahead * node.pace()));
+        if (now - Math.max(oldest.sentAt, node.lastAnswer) > patience) {
+            if (!node.suspect) {
+                suspect(node, false);
+            } else {
+                node.lastBad = now;
+            }
+        }
+    }
+
+    /** The node that serves a lane: usable, not suspect if there is a choice, with most free tokens. */
+    private Node pick(Lane lane) {
+        Node best = null;
+        for (Node node : nodes.values()) {
+            if (node.usable && node.shard == lane.shard && (best == null
+                    || best.suspect && !node.suspect
+                    || best.suspect == node.suspect && node.tokens() > best.tokens())) {
+                best = node;
+            }
+        }
+        return best;
+    }
+
+    private boolean hasToken(Node node) {
+        if (node.suspect) {
+            return now >= node.trialAt && node.out.size() < OUT_MAX;
+        }
+        return node.tokens() >= 1;
+    }
+
+    // ---------------------------------------------------------------- what to refuse
+
+    /**
+     * Refuses what cannot be answered in time. In order of their due times, what is held must fit into the wait that
+     * the node's pace predicts; where it does not, the held request of least worth a unit goes, the latest first.
+     */
+    private void shed(Lane lane) {
+        if (lane.held.isEmpty()) {
+            return;
+        }
+        Node node = pick(lane);
+        List<Request> byDue = new ArrayList<>(lane.held);
+        byDue.sort(Comparator.comparingLong((Request r) -> r.due).thenComparingLong(r -> r.order));
+        double pace = node == null ? 0 : node.pace();
+        double limit = node == null ? Double.POSITIVE_INFINITY : coldLimit(node);
+        if (limit < Double.POSITIVE_INFINITY) {
+            pace = Math.max(pace, rules.fall() / Math.max(1, limit));
+        }
+        boolean busy = node != null && node.out.size() > node.stuck;
+        double ahead = node == null ? 0 : node.outUnits;
+        PriorityQueue<Request> kept = new PriorityQueue<>(Comparator.comparingDouble((Request r) -> r.worth)
+                .thenComparing((a, b) -> Long.compare(b.order, a.order)));
+        for (Request request : byDue) {
+            if (now >= request.due) {
+                giveUp(request);
+                continue;
+            }
+            kept.add(request);
+            ahead += request.units;
+            while (now + CAUTION * ahead * pace > request.due && (kept.size() > 1 || busy && !kept.isEmpty())) {
+                Request least = kept.poll();
+                ahead -= least.units;
+                giveUp(least);
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- the ordinary path
+
+    /** The lowest virtual time among active flows; it never runs back. */
+    private double globalVt() {
+        double lowest = Double.POSITIVE_INFINITY;
+        for (Flow flow : flows.values()) {
+            if (flow.active(now)) {
+                lowest = Math.min(lowest, flow.vt);
+            }
+        }
+        globalVt = lowest == Double.POSITIVE_INFINITY ? globalVt : Math.max(globalVt, lowest);
+        return globalVt;
+    }
+
+    /** Fills the free tokens of a lane's node, one request at a time. */
+    private void dispatch(Lane lane) {
+        while (!lane.held.isEmpty()) {
+            Node node = pick(lane);
+            if (node == null || !hasToken(node)) {
+                return;
+            }
+            Request next = choose(lane, node);
+            if (next == null) {
+                return;
+            }
+            send(next, node);
+        }
+    }
+
+    /**
+     * The longest queue among unthrottled flows, ties to fewest in flight; when all that could leave is throttled, the
+     * flow of lowest virtual time. Within a flow the oldest that may leave.
+     */
+    private Request choose(Lane lane, Node node) {
+        for (Request request : lane.held) {
+            request.flow.queue = 0;
+            request.flow.first = null;
+        }
+        double room = coldRoom(node);
+        List<Flow> able = new ArrayList<>();
+        for (Request request : lane.held) {
+            Flow flow = request.flow;
+            flow.queue++;
+            if (flow.first == null && mayLeave(request, node, room)) {
+                flow.first = request;
+                able.add(flow);
+            }
+        }
+        double bound = globalVt() + AHEAD;
+        Flow best = null;
+        Flow lowest = null;
+        for (Flow flow : able) {
+            if (lowest == null || flow.vt < lowest.vt) {
+                lowest = flow;
+            }
+            if (flow.vt <= bound && (best == null || flow.queue > best.queue
+                    || flow.queue == best.queue && flow.inFlight < best.inFlight)) {
+                best = flow;
+            }
+        }
+        return best != null ? best.first : lowest == null ? null : lowest.first;
+    }
+
+    /** Every rule that a send must keep: key order, limit, cold room, and for further attempts effect and budget. */
+    private boolean mayLeave(Request request, Node node, double room) {
+        if (request.over || request.open > 0 || now < request.notBefore || request.units > room) {
+            return false;
+        }
+        KeyLine line = request.line;
+        if (line != null && (line.waiting.peekFirst() != request
+                || now < line.restUntil && line.resting != request)) {
+            return false;
+        }
+        if (request.attempts.isEmpty()) {
+            return request.flow.limit == null || request.flow.limit.level(now) >= request.units;
+        }
+        return request.attempts.size() < settings.tryLimit() && mayResend(request) && inGroup(request, node)
+                && budgetLeft();
+    }
+
+    /** Forgets what is long unused. */
+    private void sweep() {
+        if (now - sweptAt < LINGER_FIRST) {
+            return;
+        }
+        sweptAt = now;
+        keys.values().removeIf(line -> line.waiting.isEmpty() && now >= line.restUntil);
+        flows.values().removeIf(f -> f.held == 0 && f.inFlight == 0 && now - f.lastArrival > FORGET);
+    }
+}
--- /dev/null
+++ b/src/main/java/garnetreel/sim/Codec.java
@@ -0,0 +1,246 @@
+package garnetreel.sim;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.util.MinimalPrettyPrinter;
+import garnetreel.Scheduler.Abandoned;
+import garnetreel.Scheduler.Action;
+import garnetreel.Scheduler.Alarm;
+import garnetreel.Scheduler.Arrived;
+import garnetreel.Scheduler.Cancel;
+import garnetreel.Scheduler.Check;
+import garnetreel.Scheduler.Checked;
+import garnetreel.Scheduler.CloseIdle;
+import garnetreel.Scheduler.Effect;
+import garnetreel.Scheduler.Ended;
+import garnetreel.Scheduler.Event;
+import garnetreel.Scheduler.Fail;
+import garnetreel.Scheduler.FetchList;
+import garnetreel.Scheduler.Group;
+import garnetreel.Scheduler.Heard;
+import garnetreel.Scheduler.ListKind;
+import garnetreel.Scheduler.NodeEntry;
+import garnetreel.Scheduler.NodeNews;
+import garnetreel.Scheduler.NodeState;
+import garnetreel.Scheduler.Outcome;
+import garnetreel.Scheduler.Plan;
+import garnetreel.Scheduler.Refuse;
+import garnetreel.Scheduler.Remark;
+import garnetreel.Scheduler.RequestClass;
+import garnetreel.Scheduler.Rules;
+import garnetreel.Scheduler.Send;
+import garnetreel.Scheduler.SetAlarm;
+import garnetreel.Scheduler.Settings;
+import garnetreel.Scheduler.StreamBegan;
+import garnetreel.Scheduler.Watch;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+
+/** Turns the simulator's messages into the module's events and settings, and actions into messages. */
+final class Codec {
+    private static final JsonFactory FACTORY = new JsonFactory();
+    private static final Outcome[] OUTCOMES = {Outcome.UNKNOWN, Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT,
+        Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.CANCELLED, Outcome.MOOT};
+
+    private Codec() { }
+
+    /** The event in a message, or null for a message that is none of the module's. */
+    static Event event(String message, Json json) throws WireException {
+        return switch (message) {
+            case "endpoints" -> news(json);
+            case "incoming" -> arrived(json);
+            case "flowing" -> new StreamBegan(json.need("id").whole("id", 0), (int) json.whole("round-no", 0),
+                    json.text("shelf", ""));
+            case "finished" -> ended(json);
+            case "abandoned" -> new Abandoned(json.need("id").whole("id", 0));
+            case "timeout-fired" -> new Alarm(json.need("ref").text("ref", ""));
+            case "pong" -> new Checked(json.need("shelf").text("shelf", ""), outcome(json),
+                    json.micros("duration", 0), json.numbers("usage"));
+            case "mail" -> new Heard((int) json.whole("who", 0), hex(json.text("data", "")));
+            default -> null;
+        };
+    }
+
+    private static NodeNews news(Json json) throws WireException {
+        ListKind kind = switch (json.need("kind").text("kind", "")) {
+            case "changes" -> ListKind.CHANGES;
+            case "all" -> ListKind.ALL;
+            case "remembered" -> ListKind.REMEMBERED;
+            case "refused" -> ListKind.REFUSED;
+            default -> throw new WireException("field \"kind\": unknown kind of list");
+        };
+        List<NodeEntry> entries = new ArrayList<>();
+        for (Json entry : json.children("entries")) {
+            NodeState state = switch (entry.text("mode", "up")) {
+                case "up" -> NodeState.UP;
+                case "removed" -> NodeState.GONE;
+                default -> NodeState.DRAINING;
+            };
+            entries.add(new NodeEntry(entry.need("shelf").text("shelf", ""), entry.text("dc", ""),
+                    (int) entry.whole("block", 0), state, entry.number("capacity-hint", 1),
+                    entry.micros("start-time", 0)));
+        }
+        return new NodeNews(kind, entries);
+    }
+
+    private static Arrived arrived(Json json) throws WireException {
+        return new Arrived(json.need("id").whole("id", 0), json.need("qos").text("qos", ""),
+                json.text("policy-no", ""), json.whole("chunk", -1),
+                json.need("valid-until").micros("valid-until", 0), json.whole("share-id", -1),
+                json.number("size-units", 1), (int) json.number("shard", 0), (int) json.number("writers", 0),
+                json.flag("repeat", false), json.flag("update", false));
+    }
+
+    private static Ended ended(Json json) throws WireException {
+        json.need("state-code");
+        return new Ended(json.need("id").whole("id", 0), (int) json.whole("round-no", 0), json.text("shelf", ""),
+                outcome(json), json.micros("duration", 0), json.flag("done-flag", false),
+                json.whole("from-others", 0), json.whole("usage", 0), json.numbers("load"));
+    }
+
+    private static Outcome outcome(Json json) throws WireException {
+        long code = json.whole("state-code", 0);
+        return code > 0 && code < OUTCOMES.length ? OUTCOMES[(int) code] : Outcome.UNKNOWN;
+    }
+
+    private static byte[] hex(String text) {
+        try {
+            return HexFormat.of().parseHex(text);
+        } catch (IllegalArgumentException e) {
+            return new byte[0];
+        }
+    }
+
+    /** The settings; whatever is absent stands for "not in force" or "none". */
+    static Settings settings(Json json) throws WireException {
+        Json limits = json.child("limits");
+        Json facts = json.child("specifics");
+        List<Boolean> writes = facts.flags("class-writes");
+        List<RequestClass> classes = new ArrayList<>();
+        for (Json item : json.children("classes")) {
+            int index = classes.size();
+            classes.add(requestClass(item, index < writes.size() && writes.get(index)));
+        }
+        List<Plan> plans = new ArrayList<>();
+        for (Json item : json.children("service-levels")) {
+            plans.add(new Plan(item.text("name", ""), item.number("never-over", 0), item.number("limit-burst", 0),
+                    item.number("slack", 0), item.number("worth-factor", 1), item.number("usual-rate", 0),
+                    item.number("floor-rate", 0), item.number("proportion", 1)));
+        }
+        return new Settings((int) json.whole("me", 0), (int) json.whole("balancers", 1),
+                json.text("discovery", "").equals("subscribe"), classes, plans, rules(json.child("rules")),
+                facts.number("young-limit", 0), facts.number("unit-mean", 1), facts.number("most-units", 1),
+                facts.number("share-worth", 1), facts.number("idle-worth", 1), facts.flag("tells-elsewhere", false),
+                facts.micros("metering", 0), (int) limits.whole("try-limit", 1), limits.flag("second-copies", false),
+                limits.flag("cancel", false), limits.flag("probes", false),
+                json.child("clients").flag("marks-retry", false),
+                limits.flag("retry-after", false) ? limits.micros("max-retry-after", 0) : 0,
+                limits.micros("dial-timeout", 0), json.micros("tick", 0));
+    }
+
+    private static RequestClass requestClass(Json item, boolean writes) throws WireException {
+        Effect effect = switch (item.text("effect", "")) {
+            case "repeatable" -> Effect.REPEATABLE;
+            case "by_key" -> Effect.KEYED;
+            default -> Effect.ONCE;
+        };
+        Group group = switch (item.text("group", "")) {
+            case "all" -> Group.ALL;
+            case "zone" -> Group.ZONE;
+            default -> Group.CELL;
+        };
+        return new RequestClass(item.text("name", ""), item.micros("aim", 0), item.number("aim-stretch", 0),
+                item.micros("hard-limit", 0), effect, group, item.number("late-share", 0),
+                item.flag("streaming", false), item.micros("repeat-window", 0), item.number("importance", 1),
+                item.flag("in-order", false), writes);
+    }
+
+    private static Rules rules(Json item) throws WireException {
+        return new Rules(item.micros("answer-slack", 0), item.micros("ask-every", 0), item.number("free-resends", 0),
+                item.number("further-ratio", 0), item.micros("extra-window", 0), item.number("cold-share", 1),
+                item.micros("warm-within", 0), item.micros("stop-sending-within", 0),
+                item.number("fall-multiple", 0), item.micros("fall", 0), item.micros("key-quiet", 0));
+    }
+
+    /** Opens the reply of one batch. */
+    static JsonGenerator reply(ByteArrayOutputStream out) throws IOException {
+        return FACTORY.createGenerator(out).setPrettyPrinter(new MinimalPrettyPrinter("\n"));
+    }
+
+    /** Writes an instance's action as one line. */
+    static void write(JsonGenerator json, int instance, Action action) throws IOException {
+        json.writeStartObject();
+        json.writeStringField("msg", name(action));
+        json.writeNumberField("head-id", instance);
+        if (action instanceof Send send) {
+            json.writeNumberField("id", send.id());
+            json.writeNumberField("timeout", send.timeout() / 1e6);
+            json.writeStringField("shelf", send.node());
+        } else if (action instanceof Cancel cancel) {
+            json.writeNumberField("id", cancel.id());
+            json.writeNumberField("round-no", cancel.attempt());
+        } else if (action instanceof Refuse refuse) {
+            json.writeNumberField("id", refuse.id());
+            json.writeNumberField("stay-away", refuse.stayAway() / 1e6);
+        } else if (action instanceof Fail fail) {
+            json.writeNumberField("id", fail.id());
+        } else if (action instanceof SetAlarm alarm) {
+            json.writeStringField("ref", alarm.name());
+            json.writeNumberField("after", alarm.after() / 1e6);
+        } else if (action instanceof Check check) {
+            json.writeStringField("shelf", check.node());
+        } else if (action instanceof CloseIdle close) {
+            json.writeStringField("shelf", close.node());
+        } else if (action instanceof Watch watch) {
+            json.writeBooleanField("on", watch.on());
+        } else if (action instanceof Remark remark) {
+            json.writeStringField("text", remark.text());
+        }
+        json.writeEndObject();
+    }
+
+    private static String name(Action action) {
+        if (action instanceof Send) {
+            return "place";
+        } else if (action instanceof Cancel) {
+            return "revoke";
+        } else if (action instanceof Refuse) {
+            return "busy";
+        } else if (action instanceof Fail) {
+            return "lose";
+        } else if (action instanceof SetAlarm) {
+            return "set-timer";
+        } else if (action instanceof Check) {
+            return "poll";
+        } else if (action instanceof CloseIdle) {
+            return "close-idle";
+        } else if (action instanceof Watch) {
+            return "track";
+        } else if (action instanceof FetchList) {
+            return "list-all";
+        }
+        return "remark";
+    }
+
+    /** Ends the reply. */
+    static void end(JsonGenerator json) throws IOException {
+        json.writeStartObject();
+        json.writeStringField("msg", "eor");
+        json.writeEndObject();
+        json.writeRaw('\n');
+        json.close();
+    }
+
+    /** Writes the message that the decision code of an instance broke. */
+    static void broke(JsonGenerator json, int instance, RuntimeException cause) throws IOException {
+        json.writeStartObject();
+        json.writeStringField("msg", "exception");
+        json.writeNumberField("head-id", instance);
+        json.writeStringField("text", cause + " at " + (cause.getStackTrace().length > 0
+                ? cause.getStackTrace()[0] : "an unknown place"));
+        json.writeEndObject();
+    }
+}
