Retries past their aim leave only when the node is free

Cause: clients' retries of refused requests were held with the deadline as their due time and, being oldest in their queues, left before requests that could still be in time. Also guards against any source of late work. Might hurt where late answers earn much and nodes are seldom idle.

--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -174,6 +174,7 @@
         private Store from;
         private boolean held;
         private boolean over;
+        private boolean late;
         private boolean streaming;
         private boolean drawn;
         private int open;
@@ -413,6 +414,8 @@
         Node node = pick(request.lane);
         double own = node == null ? 0 : request.units * node.pace() / Math.max(1, node.window);
         if (request.due < now + own / 2) {
+            // A client's retry after its aim earns little: served only where nothing else wants the node.
+            request.late = true;
             request.due = request.validUntil - lead();
             request.worth *= kind.lateShare() * settings.idleWorth();
         } else if (claim(request, request.flow.reserve)) {
@@ -825,7 +828,7 @@
         PriorityQueue<Request> kept = new PriorityQueue<>(Comparator.comparingDouble((Request r) -> r.worth)
                 .thenComparing((a, b) -> Long.compare(b.order, a.order)));
         for (Request request : byDue) {
-            if (now >= request.due) {
+            if (now >= request.due || request.late && (busy || node == null || lane.held.size() > 1)) {
                 giveUp(request);
                 continue;
             }
