--- /dev/null
+++ b/src/test/java/garnetreel/MechanismTest.java
@@ -0,0 +1,150 @@
+package garnetreel;
+
+import static garnetreel.Bench.MS;
+import static garnetreel.Bench.SEC;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.Scheduler.Arrived;
+import garnetreel.Scheduler.NodeState;
+import garnetreel.Scheduler.Outcome;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The ordinary path: order, charge, throttle, ties, idle return, fallback, tokens, new objects. */
+class MechanismTest {
+
+    /** Fills the node's tokens with one volume of its own and returns the ids that are out. */
+    private static List<Long> fill(Bench bench) {
+        List<Long> out = new ArrayList<>();
+        while (true) {
+            long id = bench.ask("read", 999, 1);
+            if (bench.sends(id) == 0) {
+                bench.turn(new Scheduler.Abandoned(id));
+                return out;
+            }
+            out.add(id);
+        }
+    }
+
+    private static List<Long> drain(Bench bench, List<Long> out, int count) {
+        List<Long> order = new ArrayList<>();
+        List<Long> waiting = new ArrayList<>(out);
+        while (order.size() < count && !waiting.isEmpty()) {
+            int before = bench.sentIds().size();
+            bench.now += 2 * MS;
+            bench.end(waiting.remove(0), Outcome.OK);
+            List<Long> sent = bench.sentIds();
+            order.addAll(sent.subList(before, sent.size()));
+            waiting.addAll(sent.subList(before, sent.size()));
+        }
+        return order.subList(0, Math.min(count, order.size()));
+    }
+
+    @Test
+    void aNodeGetsNoMoreThanItsTokens() {
+        Bench bench = Bench.with(1);
+        int first = fill(bench).size();
+        assertTrue(first >= 1 && first <= 8);
+    }
+
+    @Test
+    void theLongestQueueGoesFirstAndItsOldestRequest() {
+        Bench bench = Bench.with(1);
+        List<Long> out = fill(bench);
+        bench.ask("read", 1, 1);
+        long oldest = bench.ask("read", 2, 1);
+        long younger = bench.ask("read", 2, 1);
+        assertEquals(List.of(oldest), drain(bench, out, 1));
+        assertEquals(0, bench.sends(younger));
+    }
+
+    @Test
+    void aTieGoesToTheFlowWithFewestInFlight() {
+        Bench bench = Bench.with(1);
+        List<Long> out = fill(bench);
+        bench.ask("read", 999, 1);
+        long idle = bench.ask("read", 2, 1);
+        assertEquals(List.of(idle), drain(bench, out, 1));
+    }
+
+    @Test
+    void aFlowFarAheadIsThrottledAndTheOthersServed() {
+        Bench bench = Bench.with(1);
+        List<Long> out = fill(bench);
+        long small = bench.ask("read", 1, 1);
+        for (int i = 0; i < 4; i++) {
+            bench.ask("read", 2, 4);
+        }
+        List<Long> order = drain(bench, out, 5);
+        assertTrue(order.indexOf(small) >= 0 && order.indexOf(small) < 4, "the long queue starved the short one");
+    }
+
+    @Test
+    void whenAllIsThrottledTheLowestVirtualTimeIsServed() {
+        Bench bench = Bench.with(2);
+        // An idle-yet-active flow on the other node holds the global virtual time down.
+        Arrived elsewhere = bench.arrival("read", "free", 50, 1, 1, -1);
+        bench.turn(elsewhere);
+        bench.end(elsewhere.id(), Outcome.OK);
+        List<Long> out = fill(bench);
+        for (int i = 0; i < 3; i++) {
+            bench.ask("read", 2, 8);
+        }
+        assertEquals(3, drain(bench, out, 3).size(), "a free token and held work, yet nothing served");
+    }
+
+    @Test
+    void weightDividesTheCharge() {
+        Bench bench = Bench.with(1);
+        List<Long> out = fill(bench);
+        List<Long> heavy = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            bench.ask("read", 1, 4);
+            Arrived arrived = bench.arrival("read", "heavy", 2, 4, 0, -1);
+            bench.turn(arrived);
+            heavy.add(arrived.id());
+        }
+        List<Long> order = drain(bench, out, 9);
+        assertTrue(order.stream().filter(heavy::contains).count() >= 4);
+    }
+
+    @Test
+    void aFlowBackFromIdleHasSavedNothingUp() {
+        Bench bench = Bench.with(1);
+        List<Long> out = fill(bench);
+        bench.ask("read", 1, 1);
+        drain(bench, out, 1);
+        bench.pass(10 * SEC);
+        out = fill(bench);
+        for (int i = 0; i < 8; i++) {
+            bench.ask("read", 3, 3);
+        }
+        List<Long> mixed = new ArrayList<>(drain(bench, out, 3));
+        long back = bench.ask("read", 1, 3);
+        assertFalse(mixed.isEmpty());
+        assertFalse(bench.over(back), "the returning flow is served like any other");
+    }
+
+    @Test
+    void aNewObjectGoesWhereMostTokensAreFree() {
+        Bench bench = Bench.with(2);
+        fill(bench);
+        Arrived fresh = bench.arrival("read", "free", 5, 1, -1, -1);
+        String node = bench.turn(fresh).stream().filter(a -> a instanceof Scheduler.Send)
+                .map(a -> ((Scheduler.Send) a).node()).findFirst().orElse("none");
+        assertEquals("n1", node);
+    }
+
+    @Test
+    void aReplacementNodeTakesOverTheShard() {
+        Bench bench = Bench.with(1);
+        bench.list(Scheduler.ListKind.CHANGES, Bench.entry("n0", 0, NodeState.DRAINING, 0),
+                Bench.entry("new", 0, NodeState.UP, 0));
+        long id = bench.ask("read", 1, 1);
+        assertEquals(1, bench.sends(id));
+        assertEquals(1, bench.out("new"));
+    }
+}
--- /dev/null
+++ b/src/test/java/garnetreel/RulesTest.java
@@ -0,0 +1,257 @@
+package garnetreel;
+
+import static garnetreel.Bench.MS;
+import static garnetreel.Bench.SEC;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.Scheduler.Arrived;
+import garnetreel.Scheduler.ListKind;
+import garnetreel.Scheduler.NodeState;
+import garnetreel.Scheduler.Outcome;
+import garnetreel.Scheduler.Refuse;
+import garnetreel.Scheduler.Watch;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** The seven rules at their edges; {@link Bench} checks each of them on every action besides. */
+class RulesTest {
+
+    @Test
+    void whatNoNodeCanServeIsAnsweredInTime() {
+        Bench bench = Bench.with(1);
+        Arrived lost = bench.arrival("read", "free", 1, 1, 77, -1);
+        bench.turn(lost);
+        bench.pass(3 * SEC);
+        bench.allAnswered();
+    }
+
+    @Test
+    void whatASilentNodeSwallowedIsAnsweredBeforeTheDeadline() {
+        Bench bench = Bench.with(1);
+        bench.ask("once", 1, 1);
+        bench.ask("read", 1, 1);
+        bench.pass(3 * SEC);
+        bench.allAnswered();
+    }
+
+    @Test
+    void anUnsafeRequestIsSentAgainOnlyWhenProvenNotRun() {
+        Bench bench = Bench.with(1);
+        long refused = bench.ask("once", 1, 1);
+        bench.end(refused, Outcome.FULL);
+        bench.pass(100 * MS);
+        assertEquals(2, bench.sends(refused));
+        long failed = bench.ask("once", 2, 1);
+        bench.end(failed, Outcome.ERROR);
+        assertEquals(1, bench.sends(failed));
+        assertTrue(bench.over(failed));
+        assertFalse(bench.actions.stream().anyMatch(a -> a instanceof Refuse r && r.id() == failed));
+    }
+
+    @Test
+    void aSafeRequestIsTriedAgainAfterAnError() {
+        Bench bench = Bench.with(1);
+        long id = bench.ask("read", 1, 1);
+        bench.end(id, Outcome.ERROR);
+        assertEquals(2, bench.sends(id));
+    }
+
+    @Test
+    void aDrainingNodeGetsNothingMore() {
+        Bench bench = Bench.with(1);
+        bench.list(ListKind.CHANGES, Bench.entry("n0", 0, NodeState.DRAINING, 0));
+        long id = bench.ask("read", 1, 1);
+        assertEquals(0, bench.sends(id));
+        bench.list(ListKind.CHANGES, Bench.entry("n0", 0, NodeState.UP, 0));
+        assertEquals(1, bench.sends(id));
+    }
+
+    @Test
+    void aNodeMissingFromACompleteListHasLeft() {
+        Bench bench = Bench.with(2);
+        bench.list(ListKind.ALL, Bench.entry("n1", 1, NodeState.UP, 0));
+        assertEquals(0, bench.sends(bench.ask("read", 1, 1)));
+    }
+
+    @Test
+    void aColdNodeIsFedLittleAndThenMore() {
+        Bench bench = Bench.with(1);
+        bench.list(ListKind.CHANGES, Bench.entry("n0", 0, NodeState.UP, bench.now));
+        int early = serve(bench, 2 * SEC);
+        bench.pass(5 * SEC);
+        int later = serve(bench, 2 * SEC);
+        bench.pass(10 * SEC);
+        int warm = serve(bench, 2 * SEC);
+        assertTrue(early >= 1, "a cold node is left unused");
+        assertTrue(later > early && warm > later, early + ", " + later + ", " + warm);
+    }
+
+    /** Asks steadily for a while, each send answered at once; returns how many were served. */
+    private static int serve(Bench bench, long time) {
+        int served = 0;
+        for (long until = bench.now + time; bench.now < until;) {
+            long id = bench.ask("read", bench.now % 5, 2);
+            bench.pass(10 * MS);
+            if (bench.sends(id) > 0 && !bench.over(id)) {
+                bench.end(id, Outcome.OK);
+                served++;
+            }
+        }
+        return served;
+    }
+
+    @Test
+    void aNodeThatBrokeOffAndAnswersAgainCountsAsJustStarted() {
+        Bench bench = Bench.with(1);
+        long id = bench.ask("read", 1, 1);
+        bench.end(id, Outcome.RESET);
+        bench.pass(2 * SEC);
+        int early = serve(bench, 2 * SEC);
+        bench.pass(15 * SEC);
+        int warm = serve(bench, 2 * SEC);
+        assertTrue(early >= 1, "the node is left unused after it recovered");
+        assertTrue(warm > 2 * early, early + " and " + warm);
+    }
+
+    @Test
+    void aLimitHoldsAndARestartedHostHasNoBurst() {
+        Bench bench = new Bench(Bench.settings());
+        bench.list(ListKind.REMEMBERED, Bench.entry("n0", 0, NodeState.UP, 0));
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            Arrived arrived = bench.arrival("read", "capped", 1, 1, 0, -1);
+            bench.turn(arrived);
+            sent += bench.sends(arrived.id());
+            if (bench.sends(arrived.id()) > 0) {
+                bench.end(arrived.id(), Outcome.OK);
+            }
+            bench.pass(20 * MS);
+        }
+        // Two seconds of half of ten units a second, from an empty store.
+        assertTrue(sent >= 8 && sent <= 10, "sent " + sent);
+    }
+
+    @Test
+    void requestsOfOneKeyRunInOrderAndTheKeyRests() {
+        Bench bench = Bench.with(1);
+        Arrived first = bench.arrival("ordered", "free", 1, 1, 0, 5);
+        Arrived second = bench.arrival("ordered", "free", 1, 1, 0, 5);
+        bench.turn(first, second);
+        assertEquals(1, bench.sends(first.id()));
+        assertEquals(0, bench.sends(second.id()));
+        bench.end(first.id(), Outcome.OK);
+        assertEquals(1, bench.sends(second.id()));
+        Arrived third = bench.arrival("ordered", "free", 1, 1, 0, 5);
+        bench.turn(third);
+        bench.end(second.id(), Outcome.TIMEOUT);
+        assertEquals(0, bench.sends(third.id()));
+        bench.pass(150 * MS);
+        assertEquals(0, bench.sends(third.id()));
+        bench.pass(100 * MS);
+        assertEquals(1, bench.sends(third.id()));
+    }
+
+    @Test
+    void furtherAttemptsStayInTheBudget() {
+        Bench bench = Bench.with(1);
+        int extra = 0;
+        for (int i = 0; i < 20; i++) {
+            long id = bench.ask("read", 1, 1);
+            while (!bench.over(id) && bench.sends(id) > 0) {
+                bench.end(id, Outcome.ERROR);
+            }
+            extra += Math.max(0, bench.sends(id) - 1);
+            bench.pass(20 * MS);
+        }
+        assertTrue(extra >= 2 && extra <= 4, "extra " + extra);
+        bench.allAnswered();
+    }
+
+    @Test
+    void aRefusedSubscriptionIsAskedForAgain() {
+        Bench bench = new Bench(Bench.settings());
+        bench.list(ListKind.REMEMBERED, Bench.entry("n0", 0, NodeState.UP, 0));
+        assertEquals(1, bench.actions.stream().filter(a -> a instanceof Watch).count());
+        bench.list(ListKind.REFUSED);
+        bench.pass(10 * MS);
+        assertEquals(1, bench.actions.stream().filter(a -> a instanceof Watch).count());
+        bench.pass(5 * SEC);
+        assertEquals(2, bench.actions.stream().filter(a -> a instanceof Watch).count());
+    }
+
+    @Test
+    void aRetryPastItsAimGivesWayToWhatCanBeInTime() {
+        Bench bench = Bench.with(1);
+        for (int i = 0; i < 12; i++) {
+            bench.ask("read", i, 1);
+        }
+        Arrived arrived = bench.arrival("read", "free", 40, 1, 0, -1);
+        Arrived late = new Arrived(arrived.id(), "read", "free", -1, bench.now + 1 * SEC, 40, 1, 0, 2, true, false);
+        bench.turn(late);
+        assertTrue(bench.over(late.id()), "a late retry was held before requests in time");
+    }
+
+    /** Random troubles of every kind: no exception, every rule kept, every request answered, and the way back. */
+    @Test
+    void randomTroublesBreakNoRule() {
+        for (int seed = 0; seed < 40; seed++) {
+            Random random = new Random(seed);
+            Bench bench = Bench.with(3);
+            List<Long> ids = new ArrayList<>();
+            String[] kinds = {"read", "once", "ordered", "unheard-of"};
+            String[] plans = {"free", "heavy", "capped", "unheard-of"};
+            for (int step = 0; step < 1500; step++) {
+                if (random.nextInt(3) > 0) {
+                    Arrived arrived = bench.arrival(kinds[random.nextInt(20) == 0 ? 3 : random.nextInt(3)],
+                            plans[random.nextInt(20) == 0 ? 3 : random.nextInt(3)], random.nextInt(8),
+                            1 + random.nextInt(8), random.nextInt(20) == 0 ? -1 : random.nextInt(4),
+                            random.nextInt(6) - 1);
+                    bench.turn(arrived);
+                    ids.add(arrived.id());
+                }
+                for (long id : List.copyOf(ids)) {
+                    if (bench.open(id) && random.nextInt(4) == 0) {
+                        Outcome[] outcomes = Outcome.values();
+                        bench.end(id, random.nextInt(3) == 0 ? outcomes[random.nextInt(outcomes.length)] : Outcome.OK);
+                    } else if (bench.over(id) && !bench.open(id)) {
+                        ids.remove(id);
+                    }
+                }
+                if (random.nextInt(100) == 0) {
+                    int node = random.nextInt(3);
+                    bench.list(ListKind.CHANGES, Bench.entry("n" + node, node,
+                            NodeState.values()[random.nextInt(3)], random.nextBoolean() ? bench.now : 0));
+                }
+                bench.pass(random.nextInt(30) * MS);
+            }
+            for (int round = 0; round < 40; round++) {
+                bench.pass(100 * MS);
+            }
+            bench.allAnswered();
+        }
+    }
+
+    @Test
+    void oddInputIsHarmless() {
+        Bench bench = Bench.with(1);
+        long id = bench.ask("read", 1, Double.NaN);
+        bench.control.turn(bench.now, List.of(
+                new Scheduler.Ended(id, 7, "nowhere", Outcome.OK, 0, true, 0, 0, java.util.Map.of()),
+                new Scheduler.Ended(424242, 0, "nowhere", Outcome.OK, -5, true, 0, 0, java.util.Map.of()),
+                new Scheduler.Abandoned(424242), new Scheduler.Alarm("unknown"),
+                new Scheduler.StreamBegan(424242, 0, "nowhere"),
+                new Scheduler.Checked("nowhere", Outcome.OK, 0, java.util.Map.of()),
+                new Scheduler.Heard(3, new byte[] {1})));
+        bench.end(id, Outcome.OK);
+        assertTrue(bench.over(id));
+        bench.control.turn(bench.now, List.of(
+                new Scheduler.Ended(id, 0, "n0", Outcome.OK, 0, true, 0, 0, java.util.Map.of())));
+        Arrived past = new Arrived(999, "read", "free", -1, bench.now - SEC, 1, 1, 0, 0, false, false);
+        List<Scheduler.Action> answer = bench.control.turn(bench.now, List.of(past, past));
+        assertEquals(1, answer.stream().filter(a -> a instanceof Refuse).count());
+    }
+}
--- /dev/null
+++ b/src/test/java/garnetreel/sim/WireTest.java
@@ -0,0 +1,72 @@
+package garnetreel.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** The wire: framing, a round trip through a batch, and plain messages on what is malformed. */
+class WireTest {
+    private static final String BORN = """
+            {"msg":"turn","t":8}
+            {"msg":"born","head-id":0,"entropy":5,"settings":{"balancers":1,"discovery":"subscribe","tick":0.002,
+            """.strip() + """
+            "classes":[{"name":"r","aim":0.4,"hard-limit":2.5,"effect":"repeatable","group":"all"}],"other":[1,{"a":2}]}}
+            {"msg":"endpoints","head-id":0,"kind":"remembered","seq-no":1,"entries":[{"shelf":"a:1","block":2,"mode":"up"}]}
+            {"msg":"your-turn"}
+            """;
+
+    private static String run(String input) throws IOException, WireException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new Host(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out).run();
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private static void fails(String input, String part) {
+        String message = assertThrows(WireException.class, () -> run(input)).getMessage();
+        assertTrue(message.contains(part), message);
+    }
+
+    @Test
+    void anEmptyBatchIsAnswered() throws Exception {
+        assertEquals("{\"msg\":\"eor\"}\n", run("{\"msg\":\"turn\",\"t\":8.41225}\n{\"msg\":\"your-turn\"}\n"));
+    }
+
+    @Test
+    void aRequestIsPlacedWithItsIdAndNode() throws Exception {
+        String reply = run(BORN + """
+                {"msg":"turn","t":8.5}
+                {"msg":"incoming","head-id":0,"id":2757924618932676,"qos":"r","valid-until":11,"share-id":7,"shard":2}
+                {"msg":"your-turn"}
+                """);
+        assertTrue(reply.contains("{\"msg\":\"track\",\"head-id\":0,\"on\":true}\n"), reply);
+        assertTrue(reply.contains("{\"msg\":\"place\",\"head-id\":0,\"id\":2757924618932676,\"timeout\":0.0,"
+                + "\"shelf\":\"a:1\"}\n"), reply);
+        assertTrue(reply.endsWith("{\"msg\":\"eor\"}\n"));
+    }
+
+    @Test
+    void aKilledInstanceIsForgottenAndMayBeBornAgain() throws Exception {
+        String again = BORN.replace("\"t\":8}", "\"t\":9}").replace("{\"msg\":\"born\"",
+                "{\"msg\":\"kill\",\"head-id\":0}\n{\"msg\":\"born\"");
+        assertEquals(2, run(BORN + again).split("track", -1).length - 1);
+    }
+
+    @Test
+    void malformedInputIsNamed() {
+        fails("{\"msg\":\"turn\",\"t\":8}\nnot json\n", "line 2");
+        fails("{\"msg\":\"turn\",\"t\":8}\n{\"msg\":\"dance\",\"head-id\":0}\n", "dance");
+        fails("{\"msg\":\"turn\"}\n", "\"t\"");
+        fails("{\"msg\":\"your-turn\"}\n", "outside a batch");
+        fails(BORN + "{\"msg\":\"turn\",\"t\":9}\n{\"msg\":\"incoming\",\"head-id\":0,\"qos\":\"r\"}\n", "\"id\"");
+        fails(BORN + "{\"msg\":\"turn\",\"t\":9}\n{\"msg\":\"incoming\",\"id\":4,\"qos\":\"r\"}\n", "\"head-id\"");
+        fails(BORN + "{\"msg\":\"turn\",\"t\":9}\n{\"msg\":\"abandoned\",\"head-id\":0,\"id\":\"x\"}\n", "wrong form");
+        fails("{\"msg\":\"turn\",\"t\":8}\n", "ended inside a batch");
+        fails("[1]\n", "not a JSON object");
+    }
+}
