Only 5 s of silence count as a restart

Small windows guard a restarted node meanwhile; it could hurt where a restart within 5 s goes unseen by list and connections.

--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -46,7 +46,7 @@
     /** Failures to connect in a row that make a node suspect; one may be a full connection table. */
     private static final int CONNECT_STREAK = 2;
     /** A node silent for so long that answers again has probably restarted; pauses and jams are shorter. */
-    private static final long RESTART_SILENCE = 2_000_000;
+    private static final long RESTART_SILENCE = 5_000_000;
     /** Time between trials of a suspect node: first, and at most. */
     private static final long TRIAL_FIRST = 100_000;
     private static final long TRIAL_MOST = 1_000_000;
