Spaced trials for nodes too slow for any aim; fast relearning once they recover

Meets any slowness (limping disks, jams, very costly work). Might hurt a node whose answers vary by more than five times at a steady load.

--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -36,6 +36,9 @@
     private static final double GROW = 0.25;
     /** Memory of a node's pace, per answer; about the last ten answers count. */
     private static final double PACE_KEEP = 0.9;
+    /** An answer in less than this share of the expected time shows recovery; then only so much is kept. */
+    private static final double RECOVERED = 0.2;
+    private static final double PACE_FORGET = 0.2;
     /** Units that fit into the tightest aim, until a node's pace is known. */
     private static final double PACE_START = 20;
     /** Multiple of the estimated wait that must fit before the aim. */
@@ -621,7 +624,7 @@
         request.attempts.add(attempt);
         node.out.add(attempt);
         note(node, request.units);
-        if (node.suspect) {
+        if (node.suspect || now + node.outUnits * node.pace() > request.due) {
             node.trialAt = now + node.trialPause;
             node.trialPause = Math.min(TRIAL_MOST, 2 * node.trialPause);
         }
@@ -687,8 +690,13 @@
 
     private void learnPace(Node node, Attempt attempt, long elapsed) {
         boolean wasFull = node.tokens() < 2;
-        node.paceTime = PACE_KEEP * node.paceTime + elapsed;
-        node.paceUnits = PACE_KEEP * node.paceUnits + attempt.ahead;
+        // Far faster than believed: the trouble is over, and what was learnt in it goes.
+        double keep = elapsed < RECOVERED * attempt.ahead * node.pace() ? PACE_FORGET : PACE_KEEP;
+        node.paceTime = keep * node.paceTime + elapsed;
+        node.paceUnits = keep * node.paceUnits + attempt.ahead;
+        if (now <= attempt.request.due) {
+            node.trialPause = TRIAL_FIRST;
+        }
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
         double share = elapsed / size / tightestAim;
         if (share > SLOW && attempt.sentAt >= node.shrunkAt) {
@@ -785,6 +793,8 @@
             pace = Math.max(pace, rules.fall() / Math.max(1, limit));
         }
         boolean busy = node != null && node.out.size() > node.stuck;
+        // A node too slow for its aims is still tried now and then, or its recovery would never be seen.
+        boolean trial = node == null || !busy && now >= node.trialAt;
         double ahead = node == null ? 0 : node.outUnits;
         PriorityQueue<Request> kept = new PriorityQueue<>(Comparator.comparingDouble((Request r) -> r.worth)
                 .thenComparing((a, b) -> Long.compare(b.order, a.order)));
@@ -795,7 +805,7 @@
             }
             kept.add(request);
             ahead += request.units;
-            while (now + CAUTION * ahead * pace > request.due && kept.size() > (busy ? 0 : 1)) {
+            while (now + CAUTION * ahead * pace > request.due && kept.size() > (trial ? 1 : 0)) {
                 Request least = kept.poll();
                 ahead -= least.units;
                 giveUp(least);
