--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -799,7 +799,7 @@
         PriorityQueue<Request> kept = new PriorityQueue<>(Comparator.comparingDouble((Request r) -> r.worth)
                 .thenComparing((a, b) -> Long.compare(b.order, a.order)));
         for (Request request : byDue) {
-            if (now >= request.due || request.late && (busy || node == null || lane.held.size() > 1)) {
+            if (now >= request.due || request.late) {
                 giveUp(request);
                 continue;
             }
