--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -42,7 +42,7 @@
     /** Units that fit into the tightest aim, until a node's pace is known. */
     private static final double PACE_START = 20;
     /** Multiple of the estimated wait that must fit before the aim. */
-    private static final double CAUTION = 0.65;
+    private static final double CAUTION = 0.8;
     /** Silence after which a node is suspect: well past nodes' pauses, and past the expected answer. */
     private static final long SILENCE = 500_000;
     private static final double SILENCE_TIMES = 4;
