--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -50,6 +50,8 @@
     private static final int CONNECT_STREAK = 2;
     /** A node silent for so long that answers again has probably restarted; pauses and jams are shorter. */
     private static final long RESTART_SILENCE = 5_000_000;
+    /** The same where connecting failed; what answers sooner lost a connection, not its process. */
+    private static final long RESTART_BROKEN = 1_000_000;
     /** Time between trials of a suspect node: first, and at most. */
     private static final long TRIAL_FIRST = 100_000;
     private static final long TRIAL_MOST = 1_000_000;
@@ -678,7 +680,10 @@
                     suspect(node, true);
                 }
             }
-            case RESET -> suspect(node, true);
+            case RESET -> {
+                suspect(node, false); // the connection is lost, the process perhaps not: ask at once
+                node.trialAt = Math.min(node.trialAt, now);
+            }
             case TIMEOUT -> {
                 if (node.lastAnswer < attempt.sentAt && now - attempt.sentAt > SILENCE) {
                     suspect(node, false);
@@ -715,7 +720,7 @@
             node.suspect = false;
             node.window = 1;
             node.trialPause = TRIAL_FIRST;
-            if (node.brokenOff || now - node.suspectSince > RESTART_SILENCE) {
+            if (now - node.suspectSince > (node.brokenOff ? RESTART_BROKEN : RESTART_SILENCE)) {
                 node.startedAt = Math.max(node.startedAt, node.lastBad);
             }
             remark("node " + node.address + ": answers again");
