--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -52,6 +52,8 @@
     private static final long RESTART_SILENCE = 5_000_000;
     /** The same where connecting failed; what answers sooner lost a connection, not its process. */
     private static final long RESTART_BROKEN = 1_000_000;
+    /** Share of its units that an answer of a cold node gives back: at most doubles what it is sent. */
+    private static final double ANSWERED_CREDIT = 0.5;
     /** Time between trials of a suspect node: first, and at most. */
     private static final long TRIAL_FIRST = 100_000;
     private static final long TRIAL_MOST = 1_000_000;
@@ -695,6 +697,9 @@
 
     private void learnPace(Node node, Attempt attempt, long elapsed) {
         boolean wasFull = node.tokens() < 2;
+        if (coldLimit(node) < Double.POSITIVE_INFINITY) {
+            note(node, -ANSWERED_CREDIT * attempt.request.units); // work done in time no longer presses
+        }
         // Far faster than believed: the trouble is over, and what was learnt in it goes.
         double keep = elapsed < RECOVERED * attempt.ahead * node.pace() ? PACE_FORGET : PACE_KEEP;
         node.paceTime = keep * node.paceTime + elapsed;
