--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -379,7 +379,7 @@
         request.worth = kind.worth() * request.plan.worthFactor();
         Node node = pick(request.lane);
         double own = node == null ? 0 : request.units * node.pace() / Math.max(1, node.window);
-        if (request.due < now + own / 2) {
+        if (age > 0 && request.due < now + own / 2) {
             // A client's retry after its aim earns little: served only where nothing else wants the node.
             request.late = true;
             request.due = request.validUntil - lead();
--- a/src/test/java/garnetreel/Bench.java
+++ b/src/test/java/garnetreel/Bench.java
@@ -185,6 +185,11 @@
         return seen.containsKey(id) ? seen.get(id).sends.size() : 0;
     }
 
+    /** Requests with an attempt out. */
+    List<Long> openIds() {
+        return seen.keySet().stream().filter(this::open).toList();
+    }
+
     /** Whether an attempt of the request is out. */
     boolean open(long id) {
         return seen.get(id).out() > 0;
--- a/src/test/java/garnetreel/MechanismTest.java
+++ b/src/test/java/garnetreel/MechanismTest.java
@@ -29,6 +29,16 @@
         }
     }
 
+    /** Teaches the module that the node is fast, so that a test's queue is not shed. */
+    private static void quicken(Bench bench) {
+        for (int i = 0; i < 60; i++) {
+            long id = bench.ask("read", 900, 1);
+            bench.now += 2 * MS;
+            bench.end(id, Outcome.OK);
+        }
+        bench.pass(10 * SEC);
+    }
+
     private static List<Long> drain(Bench bench, List<Long> out, int count) {
         List<Long> order = new ArrayList<>();
         List<Long> waiting = new ArrayList<>(out);
@@ -99,12 +109,7 @@
     @Test
     void weightDividesTheCharge() {
         Bench bench = Bench.with(1);
-        for (int i = 0; i < 60; i++) {
-            long id = bench.ask("read", 900, 1);
-            bench.now += 2 * MS;
-            bench.end(id, Outcome.OK);
-        }
-        bench.pass(10 * SEC);
+        quicken(bench);
         List<Long> out = fill(bench);
         List<Long> heavy = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
@@ -124,18 +129,23 @@
     @Test
     void aFlowBackFromIdleHasSavedNothingUp() {
         Bench bench = Bench.with(1);
-        List<Long> out = fill(bench);
-        bench.ask("read", 1, 1);
-        drain(bench, out, 1);
+        quicken(bench);
+        bench.end(bench.ask("read", 1, 1), Outcome.OK);
         bench.pass(10 * SEC);
-        out = fill(bench);
-        for (int i = 0; i < 8; i++) {
-            bench.ask("read", 3, 3);
+        List<Long> out = fill(bench);
+        for (int i = 0; i < 3; i++) {
+            bench.ask("read", 3, 8);
         }
-        List<Long> mixed = new ArrayList<>(drain(bench, out, 3));
-        long back = bench.ask("read", 1, 3);
-        assertFalse(mixed.isEmpty());
-        assertFalse(bench.over(back), "the returning flow is served like any other");
+        out.addAll(drain(bench, out, 1));
+        for (int i = 0; i < 2; i++) {
+            bench.ask("read", 3, 1);
+        }
+        long back = bench.ask("read", 1, 1);
+        bench.ask("read", 1, 1);
+        // With its old, low virtual time the returning flow would throttle the other and go first.
+        List<Long> next = drain(bench, new ArrayList<>(out.subList(out.size() - 1, out.size())), 1);
+        assertEquals(1, next.size());
+        assertFalse(next.contains(back));
     }
 
     @Test
--- a/src/test/java/garnetreel/RulesTest.java
+++ b/src/test/java/garnetreel/RulesTest.java
@@ -94,18 +94,15 @@
     /** Asks steadily for a while, each send answered within 10 ms; returns how many were served. */
     private static int serve(Bench bench, long time) {
         int served = 0;
-        List<Long> ids = new ArrayList<>();
         long until = bench.now + time;
         while (bench.now < until + SEC) {
             if (bench.now < until) {
-                ids.add(bench.ask("read", bench.now % 5, 2));
+                bench.ask("read", bench.now % 5, 2);
             }
             bench.pass(10 * MS);
-            for (long id : ids) {
-                if (bench.open(id)) {
-                    bench.end(id, Outcome.OK);
-                    served++;
-                }
+            for (long id : bench.openIds()) {
+                bench.end(id, Outcome.OK);
+                served++;
             }
         }
         return served;
@@ -115,14 +112,14 @@
     void aNodeThatCouldNotBeReachedAndAnswersAgainCountsAsJustStarted() {
         Bench bench = Bench.with(1);
         bench.end(bench.ask("read", 1, 1), Outcome.RESET);
+        List<Long> ids = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
-            long id = bench.ask("read", 1, 1);
-            bench.pass(50 * MS);
-            if (bench.open(id)) {
-                bench.end(id, Outcome.CONNECT_FAILED);
-            }
-            bench.pass(500 * MS);
+            ids.add(bench.ask("read", 1, 1));
+            bench.pass(250 * MS);
+            ids.stream().filter(bench::open).forEach(id -> bench.end(id, Outcome.CONNECT_FAILED));
         }
+        bench.pass(500 * MS);
+        ids.stream().filter(bench::open).forEach(id -> bench.end(id, Outcome.OK));
         int early = serve(bench, 2 * SEC);
         bench.pass(15 * SEC);
         int warm = serve(bench, 2 * SEC);
