--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -54,9 +54,9 @@
     private static final long RESTART_BROKEN = 1_000_000;
     /** Share of its units that an answer of a cold node gives back: at most doubles what it is sent. */
     private static final double ANSWERED_CREDIT = 0.5;
-    /** Time between trials of a suspect or slow node: first, and at most for each host, as all hosts try. */
+    /** Time between trials of a suspect node: first, and at most. */
     private static final long TRIAL_FIRST = 100_000;
-    private static final long TRIAL_MOST = 300_000;
+    private static final long TRIAL_MOST = 1_000_000;
     /** Back-off between asks for the list: first, and at most. */
     private static final long ASK_FIRST = 500_000;
     private static final long ASK_MOST = 4_000_000;
@@ -68,7 +68,7 @@
     /** A later try shows in a shorter wait than the class's longest; below this share it is jitter. */
     private static final double AGE_NOISE = 0.02;
     /** Units past the reserve that count as inside the share, as a multiple of the plan's usual rate. */
-    private static final double SHARE_RATE = 1.0;
+    private static final double SHARE_RATE = 0.4;
     /** A flow unused for this long is forgotten. */
     private static final long FORGET = 60_000_000;
     private static final int REMARKS = 60;
@@ -630,7 +630,7 @@
         note(node, request.units);
         if (node.suspect || now + node.outUnits * node.pace() > request.due) {
             node.trialAt = now + node.trialPause;
-            node.trialPause = Math.min(TRIAL_MOST * Math.max(1, settings.hosts()), 2 * node.trialPause);
+            node.trialPause = Math.min(TRIAL_MOST, 2 * node.trialPause);
         }
         out.add(new Send(request.id, node.address, 0));
     }
