--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -68,7 +68,7 @@
     /** A later try shows in a shorter wait than the class's longest; below this share it is jitter. */
     private static final double AGE_NOISE = 0.02;
     /** Units past the reserve that count as inside the share, as a multiple of the plan's usual rate. */
-    private static final double SHARE_RATE = 0.4;
+    private static final double SHARE_RATE = 1.0;
     /** A flow unused for this long is forgotten. */
     private static final long FORGET = 60_000_000;
     private static final int REMARKS = 60;
