--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -65,8 +65,10 @@
     private static final long LOOK_OUT = 50_000;
     /** Sliding windows are counted a little longer than stated, against sends that arrive bunched. */
     private static final double WINDOW_SLACK = 1.05;
-    /** A later try shows in a shorter wait than the class's longest; below this share it is jitter. */
-    private static final double AGE_NOISE = 0.02;
+    /** A client's next try runs out with its first; the two ends may differ by less than this. */
+    private static final long MOMENT = 5_000;
+    /** Requests given up that are remembered. */
+    private static final int TRACES = 4_096;
     /** Units past the reserve that count as inside the share, as a multiple of the plan's usual rate. */
     private static final double SHARE_RATE = 1.0;
     /** A flow unused for this long is forgotten. */
@@ -78,7 +80,7 @@
     private final Random random;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Map<String, Plan> plans = new HashMap<>();
-    private final Map<String, Long> longestWait = new HashMap<>();
+    private final Map<Trace, Long> givenUp = new LinkedHashMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
     private final Map<Long, Flow> flows = new LinkedHashMap<>();
     private final Map<String, Node> nodes = new TreeMap<>();
@@ -88,17 +90,10 @@
     private final ArrayDeque<Long> extras = new ArrayDeque<>();
     private final long tightestAim;
     private List<Action> out = new ArrayList<>();
-    private long now;
-    private long bornAt;
-    private boolean begun;
+    private boolean begun, watching;
     private double globalVt;
-    private long sequence;
-    private long alarmAt = Long.MAX_VALUE;
-    private long sweptAt;
+    private long now, bornAt, sweptAt, askAt, sequence, askPause = ASK_FIRST, alarmAt = Long.MAX_VALUE;
     private int remarks;
-    private boolean watching;
-    private long askAt;
-    private long askPause = ASK_FIRST;
 
     public Control(Settings settings, long seed) {
         this.settings = settings;
@@ -153,7 +148,7 @@
 
     /** A request that is not over, or that still has an attempt out. */
     private static final class Request {
-        long id, order, validUntil, due, firstRun, notBefore;
+        long id, order, arrived, validUntil, due, firstRun, notBefore;
         double units, worth;
         RequestClass kind;
         Plan plan;
@@ -169,18 +164,11 @@
 
     /** One send; {@code ahead} is what this host had out at the node then, itself included. */
     private static final class Attempt {
-        final Request request;
-        final Node node;
-        final long sentAt;
-        final double ahead;
+        Request request;
+        Node node;
+        long sentAt;
+        double ahead;
         boolean open = true, stuck;
-
-        Attempt(Request request, Node node, long sentAt, double ahead) {
-            this.request = request;
-            this.node = node;
-            this.sentAt = sentAt;
-            this.ahead = ahead;
-        }
     }
 
     /** What is held for one shard, in the order taken. */
@@ -221,6 +209,9 @@
         }
     }
 
+    /** What tells a next try: it asks the same, and stops waiting when the first would have. */
+    private record Trace(Flow flow, String kind, double units, long end) { }
+
     /** Requests of ordered classes with one key, in the order taken. */
     private static final class KeyLine {
         final ArrayDeque<Request> waiting = new ArrayDeque<>();
@@ -349,7 +340,7 @@
         requests.put(request.id, request);
         request.flow = flow(event, request.plan);
         request.lane = lane(event.shard());
-        judge(request, span, event.repeat());
+        judge(request);
         Flow flow = request.flow;
         if (flow.lastArrival >= 0) {
             double gap = now - flow.lastArrival;
@@ -370,12 +361,13 @@
     }
 
     /** When a request must be answered to earn its worth, and what that is for each unit. */
-    private void judge(Request request, long span, boolean repeat) {
+    private void judge(Request request) {
         RequestClass kind = request.kind;
-        long longest = longestWait.merge(kind.name(), span, Math::max);
-        boolean first = settings.marksRepeats() && !repeat || longest - span < AGE_NOISE * longest;
-        long age = first ? 0 : longest - span;
-        request.due = now - age + kind.aim();
+        long end = request.validUntil / MOMENT;
+        Long first = givenUp.get(new Trace(request.flow, kind.name(), request.units, end));
+        long age = first == null ? 0 : now - first;
+        request.arrived = now - age;
+        request.due = request.arrived + kind.aim();
         request.worth = kind.worth() * request.plan.worthFactor();
         Node node = pick(request.lane);
         double own = node == null ? 0 : request.units * node.pace() / Math.max(1, node.window);
@@ -469,6 +461,12 @@
         if (request.from != null) {
             request.from.draw(-request.units);
         }
+        for (long end = request.validUntil / MOMENT - 1; end <= request.validUntil / MOMENT + 1; end++) {
+            givenUp.put(new Trace(request.flow, request.kind.name(), request.units, end), request.arrived);
+        }
+        while (givenUp.size() > TRACES) {
+            givenUp.remove(givenUp.keySet().iterator().next());
+        }
         close(request);
     }
 
@@ -598,10 +596,8 @@
             return false;
         }
         double waiting = 0;
-        for (Lane lane : lanes.values()) {
-            for (Request other : lane.held) {
-                waiting += other.flow == request.flow && !other.drawn ? other.units : 0;
-            }
+        for (Request other : requests.values()) {
+            waiting += other.held && other.flow == request.flow && !other.drawn ? other.units : 0;
         }
         return limit.level(now) + limit.rate * Math.max(0, request.due - now) / 2e6 < waiting;
     }
@@ -624,7 +620,11 @@
         request.flow.inFlight++;
         request.flow.vt += request.units / request.flow.weight;
         node.outUnits += request.units;
-        Attempt attempt = new Attempt(request, node, now, node.outUnits);
+        Attempt attempt = new Attempt();
+        attempt.request = request;
+        attempt.node = node;
+        attempt.sentAt = now;
+        attempt.ahead = node.outUnits;
         request.attempts.add(attempt);
         node.out.add(attempt);
         note(node, request.units);
@@ -778,10 +778,7 @@
     }
 
     private boolean hasToken(Node node) {
-        if (node.suspect) {
-            return now >= node.trialAt && node.out.size() < OUT_MAX;
-        }
-        return node.tokens() >= 1;
+        return node.suspect ? now >= node.trialAt && node.out.size() < OUT_MAX : node.tokens() >= 1;
     }
 
     // ---------------------------------------------------------------- what to refuse
--- a/src/test/java/garnetreel/RulesTest.java
+++ b/src/test/java/garnetreel/RulesTest.java
@@ -227,15 +227,26 @@
     }
 
     @Test
-    void aRetryPastItsAimGivesWayToWhatCanBeInTime() {
+    void aNextTryPastItsAimIsRefusedAtOnce() {
         Bench bench = Bench.with(1);
-        for (int i = 0; i < 12; i++) {
-            bench.ask("read", i, 1);
-        }
-        Arrived arrived = bench.arrival("read", "free", 40, 1, 0, -1);
-        Arrived late = new Arrived(arrived.id(), "read", "free", -1, bench.now + 1 * SEC, 40, 1, 0, 2, true, false);
-        bench.turn(late);
-        assertTrue(bench.over(late.id()), "a late retry was held before requests in time");
+        Arrived first = bench.arrival("read", "free", 40, 1, 77, -1);
+        bench.turn(first);
+        bench.pass(450 * MS);
+        assertTrue(bench.over(first.id()), "no node holds its shard, so it is given up once its aim has passed");
+        Arrived next = new Arrived(424242, "read", "free", -1, first.validUntil(), 40, 1, 0, 2, false, false);
+        bench.turn(next);
+        assertEquals(0, bench.sends(next.id()));
+        assertTrue(bench.over(next.id()));
+    }
+
+    /** Incident ie5af17: clients that begin to wait less are not clients that ask again. */
+    @Test
+    void aFirstTryOfAnImpatientClientIsServed() {
+        Bench bench = Bench.with(1);
+        bench.end(bench.ask("read", 1, 1), Outcome.OK);
+        Arrived hasty = new Arrived(424242, "read", "free", -1, bench.now + SEC, 1, 1, 0, 2, false, false);
+        bench.turn(hasty);
+        assertEquals(1, bench.sends(hasty.id()));
     }
 
     /** Random troubles of every kind: no exception, every rule kept, every request answered, and the way back. */
