--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -188,7 +188,7 @@
         int shard, stuck, connectStreak;
         boolean usable, suspect, brokenOff;
         double window = WINDOW_START, paceTime, paceUnits = PACE_START, outUnits, recentUnits;
-        long startedAt, shrunkAt, suspectSince, lastBad, trialAt;
+        long startedAt, newestAnswered, shrunkAt, suspectSince, lastBad, trialAt;
         long lastAnswer = Long.MIN_VALUE / 2, trialPause = TRIAL_FIRST;
         final List<Attempt> out = new ArrayList<>();
         /** Sends within the fall window: pairs of time and units. */
@@ -543,7 +543,7 @@
     /** Whether another attempt is allowed and worth it. */
     private boolean again(Request request, Outcome outcome) {
         if (request.attempts.size() >= settings.tryLimit() || now >= request.due || outcome == Outcome.TIMEOUT
-                || outcome == Outcome.CANCELLED || !mayResend(request) || !budgetLeft()) {
+                || !mayResend(request) || !budgetLeft()) {
             return false;
         }
         if (outcome == Outcome.FULL) {
@@ -668,6 +668,7 @@
     private void judgeNode(Node node, Attempt attempt, Ended event) {
         switch (event.outcome()) {
             case OK -> {
+                node.newestAnswered = Math.max(node.newestAnswered, attempt.sentAt);
                 answered(node);
                 learnPace(node, attempt, Math.max(1, event.elapsed()));
             }
@@ -748,12 +749,25 @@
         }
     }
 
-    /** A node that has answered nothing since an old attempt was sent, far past what it should take. */
+    /** An attempt that later ones overtook is lost: its token is free, and it may be tried again. Also:
+     * a node that has answered nothing since an old attempt was sent, far past what it should take.
+     */
     private void watchSilence(Node node) {
-        if (node.out.isEmpty()) {
+        for (Attempt attempt : node.out) {
+            double usual = SILENCE_TIMES * Math.max(attempt.ahead, attempt.request.units) * node.pace();
+            if (!attempt.stuck && node.newestAnswered > attempt.sentAt + tightestAim / 2
+                    && now - attempt.sentAt > Math.max(tightestAim / 2, usual)) {
+                attempt.stuck = true;
+                node.stuck++;
+                if (settings.cancels() && attempt.request.kind.effect() != Effect.ONCE) {
+                    out.add(new Cancel(attempt.request.id, attempt.request.attempts.indexOf(attempt)));
+                }
+            }
+        }
+        if (node.out.size() == node.stuck) {
             return;
         }
-        Attempt oldest = node.out.get(0);
+        Attempt oldest = node.out.stream().filter(a -> !a.stuck).findFirst().orElseThrow();
         long patience = Math.max(SILENCE, (long) (SILENCE_TIMES * oldest.ahead * node.pace()));
         if (now - Math.max(oldest.sentAt, node.lastAnswer) > patience) {
             if (!node.suspect) {
