--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -46,6 +46,8 @@
     /** Silence after which a node is suspect: well past nodes' pauses, and past the expected answer. */
     private static final long SILENCE = 500_000;
     private static final double SILENCE_TIMES = 4;
+    /** Later answers by which an attempt counts as lost; fewer come of small requests passing a large one. */
+    private static final int OVERTAKEN = 6;
     /** Failures to connect in a row that make a node suspect; one may be a full connection table. */
     private static final int CONNECT_STREAK = 2;
     /** A node silent for so long that answers again has probably restarted; pauses and jams are shorter. */
@@ -169,6 +171,7 @@
         long sentAt;
         double ahead;
         boolean open = true, stuck;
+        int overtaken;
     }
 
     /** What is held for one shard, in the order taken. */
@@ -188,7 +191,7 @@
         int shard, stuck, connectStreak;
         boolean usable, suspect, brokenOff;
         double window = WINDOW_START, paceTime, paceUnits = PACE_START, outUnits, recentUnits;
-        long startedAt, newestAnswered, shrunkAt, suspectSince, lastBad, trialAt;
+        long startedAt, shrunkAt, suspectSince, lastBad, trialAt;
         long lastAnswer = Long.MIN_VALUE / 2, trialPause = TRIAL_FIRST;
         final List<Attempt> out = new ArrayList<>();
         /** Sends within the fall window: pairs of time and units. */
@@ -668,7 +671,7 @@
     private void judgeNode(Node node, Attempt attempt, Ended event) {
         switch (event.outcome()) {
             case OK -> {
-                node.newestAnswered = Math.max(node.newestAnswered, attempt.sentAt);
+                node.out.forEach(a -> a.overtaken += a.sentAt < attempt.sentAt ? 1 : 0);
                 answered(node);
                 learnPace(node, attempt, Math.max(1, event.elapsed()));
             }
@@ -755,11 +758,12 @@
     private void watchSilence(Node node) {
         for (Attempt attempt : node.out) {
             double usual = SILENCE_TIMES * Math.max(attempt.ahead, attempt.request.units) * node.pace();
-            if (!attempt.stuck && node.newestAnswered > attempt.sentAt + tightestAim / 2
+            if (!attempt.stuck && attempt.overtaken >= OVERTAKEN
                     && now - attempt.sentAt > Math.max(tightestAim / 2, usual)) {
                 attempt.stuck = true;
                 node.stuck++;
-                if (settings.cancels() && attempt.request.kind.effect() != Effect.ONCE) {
+                if (settings.cancels() && attempt.request.kind.effect() != Effect.ONCE
+                        && attempt.request.attempts.size() == 1) {
                     out.add(new Cancel(attempt.request.id, attempt.request.attempts.indexOf(attempt)));
                 }
             }
