--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -47,7 +47,7 @@
     private static final long SILENCE = 500_000;
     private static final double SILENCE_TIMES = 4;
     /** Later answers by which an attempt counts as lost; fewer come of small requests passing a large one. */
-    private static final int OVERTAKEN = 6;
+    private static final int OVERTAKEN = 4;
     /** Failures to connect in a row that make a node suspect; one may be a full connection table. */
     private static final int CONNECT_STREAK = 2;
     /** A node silent for so long that answers again has probably restarted; pauses and jams are shorter. */
@@ -768,10 +768,10 @@
                 }
             }
         }
-        if (node.out.size() == node.stuck) {
+        if (node.out.isEmpty()) {
             return;
         }
-        Attempt oldest = node.out.stream().filter(a -> !a.stuck).findFirst().orElseThrow();
+        Attempt oldest = node.out.get(0);
         long patience = Math.max(SILENCE, (long) (SILENCE_TIMES * oldest.ahead * node.pace()));
         if (now - Math.max(oldest.sentAt, node.lastAnswer) > patience) {
             if (!node.suspect) {
