--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -46,8 +46,6 @@
     /** Silence after which a node is suspect: well past nodes' pauses, and past the expected answer. */
     private static final long SILENCE = 500_000;
     private static final double SILENCE_TIMES = 4;
-    /** Later answers by which an attempt counts as lost; fewer come of small requests passing a large one. */
-    private static final int OVERTAKEN = 4;
     /** Failures to connect in a row that make a node suspect; one may be a full connection table. */
     private static final int CONNECT_STREAK = 2;
     /** A node silent for so long that answers again has probably restarted; pauses and jams are shorter. */
@@ -171,7 +169,6 @@
         long sentAt;
         double ahead;
         boolean open = true, stuck;
-        int overtaken;
     }
 
     /** What is held for one shard, in the order taken. */
@@ -546,7 +543,7 @@
     /** Whether another attempt is allowed and worth it. */
     private boolean again(Request request, Outcome outcome) {
         if (request.attempts.size() >= settings.tryLimit() || now >= request.due || outcome == Outcome.TIMEOUT
-                || !mayResend(request) || !budgetLeft()) {
+                || outcome == Outcome.CANCELLED || !mayResend(request) || !budgetLeft()) {
             return false;
         }
         if (outcome == Outcome.FULL) {
@@ -671,7 +668,6 @@
     private void judgeNode(Node node, Attempt attempt, Ended event) {
         switch (event.outcome()) {
             case OK -> {
-                node.out.forEach(a -> a.overtaken += a.sentAt < attempt.sentAt ? 1 : 0);
                 answered(node);
                 learnPace(node, attempt, Math.max(1, event.elapsed()));
             }
@@ -752,22 +748,8 @@
         }
     }
 
-    /** An attempt that later ones overtook is lost: its token is free, and it may be tried again. Also:
-     * a node that has answered nothing since an old attempt was sent, far past what it should take.
-     */
+    /** A node that has answered nothing since an old attempt was sent, far past what it should take. */
     private void watchSilence(Node node) {
-        for (Attempt attempt : node.out) {
-            double usual = SILENCE_TIMES * Math.max(attempt.ahead, attempt.request.units) * node.pace();
-            if (!attempt.stuck && attempt.overtaken >= OVERTAKEN
-                    && now - attempt.sentAt > Math.max(tightestAim / 2, usual)) {
-                attempt.stuck = true;
-                node.stuck++;
-                if (settings.cancels() && attempt.request.kind.effect() != Effect.ONCE
-                        && attempt.request.attempts.size() == 1) {
-                    out.add(new Cancel(attempt.request.id, attempt.request.attempts.indexOf(attempt)));
-                }
-            }
-        }
         if (node.out.isEmpty()) {
             return;
         }
