--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -34,6 +34,14 @@
     private static final double QUICK = 0.3;
     private static final double SHRINK = 0.8;
     private static final double GROW = 0.25;
+    /** A node's answers later than the aim cut the part of the demand let through to it, at most to so much; */
+    private static final double CUT_MOST = 0.2;
+    private static final double CUT_FULL = 0.5;
+    private static final double CUT_AIM = 0.7;
+    /** quick ones raise it, and it grows by itself, or what is thinned to nothing would never be seen to recover. */
+    private static final double PART_LEAST = 0.03;
+    private static final double PART_RAISE = 1.5;
+    private static final double PART_GROWTH = 8e6;
     /** Memory of a node's pace, per answer; about the last ten answers count. */
     private static final double PACE_KEEP = 0.9;
     /** An answer in less than this share of the expected time shows recovery; then only so much is kept. */
@@ -52,8 +60,12 @@
     private static final long RESTART_SILENCE = 5_000_000;
     /** The same where connecting failed; what answers sooner lost a connection, not its process. */
     private static final long RESTART_BROKEN = 1_000_000;
-    /** Share of its units that an answer of a cold node gives back: at most doubles what it is sent. */
-    private static final double ANSWERED_CREDIT = 0.5;
+    /** Part of what a cold node must bear that its hosts plan to send it; the rest is for chance and bursts. */
+    private static final double COLD_PART = 1.3;
+    /** Memory of what is asked of a shard, short, and of what its nodes served this host, long. */
+    private static final double ASKED_MEMORY = 3e6;
+    private static final long SERVED_MEMORY = 60_000_000;
+    private static final long SERVED_LEAST = 4_000_000;
     /** Time between trials of a suspect node: first, and at most. */
     private static final long TRIAL_FIRST = 100_000;
     private static final long TRIAL_MOST = 1_000_000;
@@ -171,13 +183,33 @@
         boolean open = true, stuck;
     }
 
-    /** What is held for one shard, in the order taken. */
+    /** What is held for one shard, in the order taken, and what this host asks of it and is served. */
     private static final class Lane {
         final int shard;
         final List<Request> held = new ArrayList<>();
+        double asked, served;
+        long askedAt, servedFrom;
 
-        Lane(int shard) {
+        Lane(int shard, long from) {
             this.shard = shard;
+            servedFrom = from;
+        }
+
+        /** Units a second asked of late, counting these. */
+        double asked(double units, long now) {
+            asked = asked * Math.exp((askedAt - now) / ASKED_MEMORY) + units * 1e6 / ASKED_MEMORY;
+            askedAt = now;
+            return asked;
+        }
+
+        /** Units a second served in the mean; an outage only lowers it. */
+        double served(double units, long now) {
+            served += units;
+            if (now - servedFrom > SERVED_MEMORY) {
+                served /= 2;
+                servedFrom = (servedFrom + now) / 2;
+            }
+            return served * 1e6 / Math.max(SERVED_LEAST, now - servedFrom);
         }
     }
 
@@ -187,12 +219,10 @@
         String zone = "";
         int shard, stuck, connectStreak;
         boolean usable, suspect, brokenOff;
-        double window = WINDOW_START, paceTime, paceUnits = PACE_START, outUnits, recentUnits;
-        long startedAt, shrunkAt, suspectSince, lastBad, trialAt;
+        double window = WINDOW_START, part = 1, paceTime, paceUnits = PACE_START, outUnits;
+        long startedAt, shrunkAt, partAt, cutAt, suspectSince, lastBad, trialAt;
         long lastAnswer = Long.MIN_VALUE / 2, trialPause = TRIAL_FIRST;
         final List<Attempt> out = new ArrayList<>();
-        /** Sends within the fall window: pairs of time and units. */
-        final ArrayDeque<double[]> recent = new ArrayDeque<>();
 
         Node(String address, long aim) {
             this.address = address;
@@ -204,6 +234,21 @@
             return paceTime / paceUnits;
         }
 
+        /** Part of the demand that is let through; it grows with time. */
+        double part(long now) {
+            part = Math.min(1, part * Math.exp((now - partAt) / PART_GROWTH));
+            partAt = now;
+            return part;
+        }
+
+        /** Lowers the part once for what was sent since the last time. */
+        void cut(Attempt attempt, double to, long now) {
+            if (attempt.sentAt >= cutAt) {
+                part = Math.max(PART_LEAST, part(now) * to);
+                cutAt = now;
+            }
+        }
+
         double tokens() {
             return Math.min(window - (out.size() - stuck), OUT_MAX - out.size());
         }
@@ -312,9 +357,6 @@
                 node.startedAt = entry.startedAt();
                 node.window = 1;
                 node.trialAt = now;
-                if (now == bornAt) {
-                    note(node, coldLimit(node)); // what this host sent before its own restart is unknown
-                }
             }
         }
     }
@@ -355,11 +397,23 @@
             request.line.waiting.add(request);
         }
         hold(request);
-        if (beyondLimit(request)) {
+        if (beyondLimit(request) || !admitted(request)) {
             giveUp(request);
         }
     }
 
+    /**
+     * Whether chance lets a request through to a node that bears only a part of what is asked: each host passes
+     * that part of its own demand, so that all together keep it, however many they are and however little each asks.
+     */
+    private boolean admitted(Request request) {
+        Node node = pick(request.lane);
+        double asked = request.lane.asked(request.units, now);
+        double part = node == null ? 1 : Math.min(node.part(now), coldRate(node, request.lane) / asked);
+        double steep = request.from == request.flow.reserve ? 1 : request.from == null ? 3 : 2;
+        return part >= 1 || random.nextDouble() < Math.pow(part, steep);
+    }
+
     /** When a request must be answered to earn its worth, and what that is for each unit. */
     private void judge(Request request) {
         RequestClass kind = request.kind;
@@ -424,7 +478,7 @@
                 }
             }
         }
-        return lanes.computeIfAbsent(chosen, Lane::new);
+        return lanes.computeIfAbsent(chosen, any -> new Lane(any, bornAt));
     }
 
     private void hold(Request request) {
@@ -627,7 +681,6 @@
         attempt.ahead = node.outUnits;
         request.attempts.add(attempt);
         node.out.add(attempt);
-        note(node, request.units);
         if (node.suspect || now + node.outUnits * node.pace() > request.due) {
             node.trialAt = now + node.trialPause;
             node.trialPause = Math.min(TRIAL_MOST, 2 * node.trialPause);
@@ -637,44 +690,36 @@
 
     // ---------------------------------------------------------------- nodes: cold, suspect, deep
 
-    /** Units this host may send a node within the fall window; without end once the node must be warm. */
-    private double coldLimit(Node node) {
+    /**
+     * Units a second this host may send a node that started lately; without end once it must be warm. What all hosts
+     * were served by a shard is at most what its node can do, so a part of each host's own keeps all within that
+     * part. A host that remembers nothing has its even part of the figure that is always safe.
+     */
+    private double coldRate(Node node, Lane lane) {
         long age = now - node.startedAt;
         if (node.startedAt <= 0 || rules.fall() <= 0 || age >= rules.warmWithin() + rules.fall()) {
             return Double.POSITIVE_INFINITY;
         }
-        double base = settings.youngLimit() > 0 ? settings.youngLimit() : settings.meanUnits();
         double cold = Math.max(0.01, Math.min(1, rules.coldShare()));
         double warmth = Math.max(0, age - rules.fall()) / Math.max(1.0, rules.warmWithin());
-        double present = cold + (1 - cold) * warmth;
-        return base / Math.max(1, settings.hosts()) * Math.min(1, present) / cold;
-    }
-
-    private double coldRoom(Node node) {
-        double limit = coldLimit(node);
-        while (!node.recent.isEmpty() && node.recent.peekFirst()[0] < now - rules.fall() * WINDOW_SLACK) {
-            node.recentUnits -= node.recent.pollFirst()[1];
-        }
-        return limit - node.recentUnits;
-    }
-
-    private void note(Node node, double units) {
-        node.recent.add(new double[] {now, units});
-        node.recentUnits += units;
-        coldRoom(node);
+        double present = cold + (1 - cold) * Math.min(1, warmth);
+        double base = settings.youngLimit() > 0 ? settings.youngLimit() : settings.meanUnits();
+        double safe = base * 1e6 / rules.fall() / Math.max(1, settings.hosts()) * present / cold;
+        return Math.max(safe, COLD_PART * rules.fallMultiple() * present * lane.served(0, now));
     }
 
     /** Learns from an outcome. Only an answer that did the work says how fast a node is. */
     private void judgeNode(Node node, Attempt attempt, Ended event) {
         switch (event.outcome()) {
             case OK -> {
-                answered(node);
+                answered(node, event.elapsed() < tightestAim / 2);
                 learnPace(node, attempt, Math.max(1, event.elapsed()));
             }
-            case ERROR -> answered(node);
+            case ERROR -> answered(node, event.elapsed() < tightestAim / 2);
             case FULL -> {
-                answered(node);
+                answered(node, false);
                 node.window = 1;
+                node.cut(attempt, CUT_FULL, now);
             }
             case CONNECT_FAILED -> {
                 node.lastBad = now;
@@ -689,6 +734,7 @@
             case TIMEOUT -> {
                 if (node.lastAnswer < attempt.sentAt && now - attempt.sentAt > SILENCE) {
                     suspect(node, false);
+                    node.cut(attempt, CUT_MOST, now);
                 }
             }
             default -> { }
@@ -697,9 +743,7 @@
 
     private void learnPace(Node node, Attempt attempt, long elapsed) {
         boolean wasFull = node.tokens() < 2;
-        if (coldLimit(node) < Double.POSITIVE_INFINITY) {
-            note(node, -ANSWERED_CREDIT * attempt.request.units); // work done in time no longer presses
-        }
+        attempt.request.lane.served(attempt.request.units, now);
         // Far faster than believed: the trouble is over, and what was learnt in it goes.
         double keep = elapsed < RECOVERED * attempt.ahead * node.pace() ? PACE_FORGET : PACE_KEEP;
         node.paceTime = keep * node.paceTime + elapsed;
@@ -709,6 +753,11 @@
         }
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
         double share = elapsed / size / tightestAim;
+        if (share > 1) {
+            node.cut(attempt, Math.max(CUT_MOST, CUT_AIM / share), now);
+        } else if (share < SLOW) {
+            node.part = Math.min(1, node.part(now) * PART_RAISE);
+        }
         if (share > SLOW && attempt.sentAt >= node.shrunkAt) {
             node.window = Math.max(1, node.window * SHRINK);
             node.shrunkAt = now;
@@ -717,15 +766,18 @@
         }
     }
 
-    /** Any answer shows a running process; after signs of a restart it counts as just started. */
-    private void answered(Node node) {
+    /**
+     * Any answer shows a running process; after signs of a restart it counts as just started. One that has just
+     * started has no queue: a slow answer, or a full queue, after a silence is that of a jam.
+     */
+    private void answered(Node node, boolean quick) {
         node.lastAnswer = now;
         node.connectStreak = 0;
         if (node.suspect) {
             node.suspect = false;
             node.window = 1;
             node.trialPause = TRIAL_FIRST;
-            if (now - node.suspectSince > (node.brokenOff ? RESTART_BROKEN : RESTART_SILENCE)) {
+            if (quick && now - node.suspectSince > (node.brokenOff ? RESTART_BROKEN : RESTART_SILENCE)) {
                 node.startedAt = Math.max(node.startedAt, node.lastBad);
             }
             remark("node " + node.address + ": answers again");
@@ -795,10 +847,6 @@
         List<Request> byDue = new ArrayList<>(lane.held);
         byDue.sort(Comparator.comparingLong((Request r) -> r.due).thenComparingLong(r -> r.order));
         double pace = node == null ? 0 : node.pace();
-        double limit = node == null ? Double.POSITIVE_INFINITY : coldLimit(node);
-        if (limit < Double.POSITIVE_INFINITY) {
-            pace = Math.max(pace, rules.fall() / Math.max(1, limit));
-        }
         boolean busy = node != null && node.out.size() > node.stuck;
         // A node too slow for its aims is still tried now and then, or its recovery would never be seen.
         boolean trial = node == null || !busy && now >= node.trialAt;
@@ -858,12 +906,11 @@
             request.flow.queue = 0;
             request.flow.first = null;
         }
-        double room = coldRoom(node);
         List<Flow> able = new ArrayList<>();
         for (Request request : lane.held) {
             Flow flow = request.flow;
             flow.queue++;
-            if (flow.first == null && mayLeave(request, node, room)) {
+            if (flow.first == null && mayLeave(request, node)) {
                 flow.first = request;
                 able.add(flow);
             }
@@ -883,9 +930,9 @@
         return best != null ? best.first : lowest == null ? null : lowest.first;
     }
 
-    /** What a send must keep: key order, limit, cold room; for further attempts effect, group and budget. */
-    private boolean mayLeave(Request request, Node node, double room) {
-        if (request.over || request.open > 0 || now < request.notBefore || request.units > room) {
+    /** What a send must keep: key order, limit; for further attempts effect, group and budget. */
+    private boolean mayLeave(Request request, Node node) {
+        if (request.over || request.open > 0 || now < request.notBefore) {
             return false;
         }
         KeyLine line = request.line;
