--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -35,13 +35,13 @@
     private static final double SHRINK = 0.8;
     private static final double GROW = 0.25;
     /** A node's answers later than the aim cut the part of the demand let through to it, at most to so much; */
-    private static final double CUT_MOST = 0.2;
-    private static final double CUT_FULL = 0.5;
-    private static final double CUT_AIM = 0.7;
+    private static final double CUT_MOST = 0.05;
+    private static final double CUT_FULL = 0.1;
+    private static final double CUT_AIM = 0.3;
     /** quick ones raise it, and it grows by itself, or what is thinned to nothing would never be seen to recover. */
-    private static final double PART_LEAST = 0.03;
+    private static final double PART_LEAST = 0.01;
     private static final double PART_RAISE = 1.5;
-    private static final double PART_GROWTH = 8e6;
+    private static final double PART_GROWTH = 4e6;
     /** Memory of a node's pace, per answer; about the last ten answers count. */
     private static final double PACE_KEEP = 0.9;
     /** An answer in less than this share of the expected time shows recovery; then only so much is kept. */
@@ -409,9 +409,13 @@
     private boolean admitted(Request request) {
         Node node = pick(request.lane);
         double asked = request.lane.asked(request.units, now);
-        double part = node == null ? 1 : Math.min(node.part(now), coldRate(node, request.lane) / asked);
-        double steep = request.from == request.flow.reserve ? 1 : request.from == null ? 3 : 2;
-        return part >= 1 || random.nextDouble() < Math.pow(part, steep);
+        if (node == null) {
+            return true;
+        }
+        int before = request.from == request.flow.reserve ? 0 : request.from == request.flow.share ? 1 : 2;
+        double cold = coldRate(node, request.lane) / asked;
+        double chance = Math.min(3 * node.part(now) - before, before == 0 ? cold : cold * cold);
+        return chance >= 1 || random.nextDouble() < chance;
     }
 
     /** When a request must be answered to earn its worth, and what that is for each unit. */
@@ -753,8 +757,9 @@
         }
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
         double share = elapsed / size / tightestAim;
-        if (share > 1) {
-            node.cut(attempt, Math.max(CUT_MOST, CUT_AIM / share), now);
+        double late = (double) elapsed / Math.max(1, attempt.request.kind.aim());
+        if (late > 1) {
+            node.cut(attempt, Math.max(CUT_MOST, CUT_AIM / late), now);
         } else if (share < SLOW) {
             node.part = Math.min(1, node.part(now) * PART_RAISE);
         }
@@ -849,7 +854,7 @@
         double pace = node == null ? 0 : node.pace();
         boolean busy = node != null && node.out.size() > node.stuck;
         // A node too slow for its aims is still tried now and then, or its recovery would never be seen.
-        boolean trial = node == null || !busy && now >= node.trialAt;
+        boolean trial = node == null || !busy && (!node.suspect || now >= node.trialAt);
         double ahead = node == null ? 0 : node.outUnits;
         PriorityQueue<Request> kept = new PriorityQueue<>(Comparator.comparingDouble((Request r) -> r.worth)
                 .thenComparing((a, b) -> Long.compare(b.order, a.order)));
