--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -219,7 +219,7 @@
         String zone = "";
         int shard, stuck, connectStreak;
         boolean usable, suspect, brokenOff;
-        double window = WINDOW_START, part = 1, paceTime, paceUnits = PACE_START, outUnits;
+        double window = WINDOW_START, part = 1, uncut = 1, paceTime, paceUnits = PACE_START, outUnits;
         long startedAt, shrunkAt, partAt, cutAt, suspectSince, lastBad, trialAt;
         long lastAnswer = Long.MIN_VALUE / 2, trialPause = TRIAL_FIRST;
         final List<Attempt> out = new ArrayList<>();
@@ -241,12 +241,13 @@
             return part;
         }
 
-        /** Lowers the part once for what was sent since the last time. */
+        /** Lowers the part by the worst sign among what was out together. */
         void cut(Attempt attempt, double to, long now) {
             if (attempt.sentAt >= cutAt) {
-                part = Math.max(PART_LEAST, part(now) * to);
+                uncut = part(now);
                 cutAt = now;
             }
+            part = Math.max(PART_LEAST, Math.min(part(now), uncut * to));
         }
 
         double tokens() {
@@ -757,10 +758,8 @@
         }
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
         double share = elapsed / size / tightestAim;
-        double late = (double) elapsed / Math.max(1, attempt.request.kind.aim());
-        if (late > 1) {
-            node.cut(attempt, Math.max(CUT_MOST, CUT_AIM / late), now);
-        } else if (share < SLOW) {
+        lateness(attempt, elapsed);
+        if (share < SLOW) {
             node.part = Math.min(1, node.part(now) * PART_RAISE);
         }
         if (share > SLOW && attempt.sentAt >= node.shrunkAt) {
@@ -789,6 +788,14 @@
         }
     }
 
+    /** An attempt past its request's aim, answered or not, tells that its node is asked for too much. */
+    private void lateness(Attempt attempt, long elapsed) {
+        long aim = attempt.request.kind.aim();
+        if (elapsed > aim) {
+            attempt.node.cut(attempt, Math.max(CUT_MOST, CUT_AIM * aim / elapsed), now);
+        }
+    }
+
     private void suspect(Node node, boolean brokenOff) {
         node.lastBad = now;
         node.brokenOff = node.suspect && node.brokenOff || brokenOff;
@@ -811,6 +818,7 @@
             return;
         }
         Attempt oldest = node.out.get(0);
+        lateness(oldest, now - oldest.sentAt);
         long patience = Math.max(SILENCE, (long) (SILENCE_TIMES * oldest.ahead * node.pace()));
         if (now - Math.max(oldest.sentAt, node.lastAnswer) > patience) {
             if (!node.suspect) {
