--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -36,7 +36,8 @@
     private static final double GROW = 0.25;
     /** A node's answers later than the aim cut the part of the demand let through to it, at most to so much; */
     private static final double CUT_MOST = 0.05;
-    private static final double CUT_FULL = 0.1;
+    private static final double FULL_LATE = 3;
+    private static final double LATE_MEMORY = 1e6;
     private static final double CUT_AIM = 0.3;
     /** quick ones raise it, and it grows by itself, or what is thinned to nothing would never be seen to recover. */
     private static final double PART_LEAST = 0.01;
@@ -219,8 +220,8 @@
         String zone = "";
         int shard, stuck, connectStreak;
         boolean usable, suspect, brokenOff;
-        double window = WINDOW_START, part = 1, uncut = 1, paceTime, paceUnits = PACE_START, outUnits;
-        long startedAt, shrunkAt, partAt, cutAt, suspectSince, lastBad, trialAt;
+        double window = WINDOW_START, part = 1, uncut = 1, paceTime, paceUnits = PACE_START, outUnits, late, answers;
+        long startedAt, shrunkAt, partAt, cutAt, lateAt, suspectSince, lastBad, trialAt;
         long lastAnswer = Long.MIN_VALUE / 2, trialPause = TRIAL_FIRST;
         final List<Attempt> out = new ArrayList<>();
 
@@ -724,7 +725,7 @@
             case FULL -> {
                 answered(node, false);
                 node.window = 1;
-                node.cut(attempt, CUT_FULL, now);
+                lateness(attempt, FULL_LATE, 1);
             }
             case CONNECT_FAILED -> {
                 node.lastBad = now;
@@ -739,7 +740,7 @@
             case TIMEOUT -> {
                 if (node.lastAnswer < attempt.sentAt && now - attempt.sentAt > SILENCE) {
                     suspect(node, false);
-                    node.cut(attempt, CUT_MOST, now);
+                    lateness(attempt, (double) event.elapsed() / Math.max(1, attempt.request.kind.aim()), 1);
                 }
             }
             default -> { }
@@ -758,7 +759,7 @@
         }
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
         double share = elapsed / size / tightestAim;
-        lateness(attempt, elapsed);
+        lateness(attempt, (double) elapsed / Math.max(1, attempt.request.kind.aim()), 1);
         if (share < SLOW) {
             node.part = Math.min(1, node.part(now) * PART_RAISE);
         }
@@ -788,11 +789,21 @@
         }
     }
 
-    /** An attempt past its request's aim, answered or not, tells that its node is asked for too much. */
-    private void lateness(Attempt attempt, long elapsed) {
-        long aim = attempt.request.kind.aim();
-        if (elapsed > aim) {
-            attempt.node.cut(attempt, Math.max(CUT_MOST, CUT_AIM * aim / elapsed), now);
+    /**
+     * Times of answers, in aims, that are above one in the mean of the last moment tell that a node is asked for too
+     * much; so does an attempt that is still out. Where a host has but one answer in that time, it must do.
+     */
+    private void lateness(Attempt attempt, double late, int answers) {
+        Node node = attempt.node;
+        double keep = Math.exp((node.lateAt - now) / LATE_MEMORY);
+        double mean = (node.late * keep + late) / (node.answers * keep + 1);
+        if (answers > 0) {
+            node.late = node.late * keep + late;
+            node.answers = node.answers * keep + answers;
+            node.lateAt = now;
+        }
+        if (late > 1 && mean > 1) {
+            node.cut(attempt, Math.max(CUT_MOST, CUT_AIM / mean), now);
         }
     }
 
@@ -818,7 +829,7 @@
             return;
         }
         Attempt oldest = node.out.get(0);
-        lateness(oldest, now - oldest.sentAt);
+        lateness(oldest, (double) (now - oldest.sentAt) / Math.max(1, oldest.request.kind.aim()), 0);
         long patience = Math.max(SILENCE, (long) (SILENCE_TIMES * oldest.ahead * node.pace()));
         if (now - Math.max(oldest.sentAt, node.lastAnswer) > patience) {
             if (!node.suspect) {
