--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -37,7 +37,7 @@
     /** A node's answers later than the aim cut the part of the demand let through to it, at most to so much; */
     private static final double CUT_MOST = 0.05;
     private static final double FULL_LATE = 3;
-    private static final double LATE_MEMORY = 1e6;
+    private static final double LATE_MEMORY = 0.4e6;
     private static final double CUT_AIM = 0.3;
     /** quick ones raise it, and it grows by itself, or what is thinned to nothing would never be seen to recover. */
     private static final double PART_LEAST = 0.01;
@@ -62,7 +62,7 @@
     /** The same where connecting failed; what answers sooner lost a connection, not its process. */
     private static final long RESTART_BROKEN = 1_000_000;
     /** Part of what a cold node must bear that its hosts plan to send it; the rest is for chance and bursts. */
-    private static final double COLD_PART = 1.3;
+    private static final double COLD_PART = 2;
     /** Memory of what is asked of a shard, short, and of what its nodes served this host, long. */
     private static final double ASKED_MEMORY = 3e6;
     private static final long SERVED_MEMORY = 60_000_000;
@@ -188,7 +188,9 @@
     private static final class Lane {
         final int shard;
         final List<Request> held = new ArrayList<>();
-        double asked, served;
+        /** Units a second asked of late: within the reserve, the share, and past both. */
+        final double[] asked = new double[3];
+        double served;
         long askedAt, servedFrom;
 
         Lane(int shard, long from) {
@@ -196,11 +198,22 @@
             servedFrom = from;
         }
 
-        /** Units a second asked of late, counting these. */
-        double asked(double units, long now) {
-            asked = asked * Math.exp((askedAt - now) / ASKED_MEMORY) + units * 1e6 / ASKED_MEMORY;
+        void asked(int rank, double units, long now) {
+            double keep = Math.exp((askedAt - now) / ASKED_MEMORY);
+            for (int i = 0; i < asked.length; i++) {
+                asked[i] *= keep;
+            }
+            asked[rank] += units * 1e6 / ASKED_MEMORY;
             askedAt = now;
-            return asked;
+        }
+
+        /** Part of a rank's demand that a rate has room for after the ranks of more worth. */
+        double fits(int rank, double rate) {
+            double left = rate;
+            for (int i = 0; i < rank; i++) {
+                left -= asked[i];
+            }
+            return left / asked[rank];
         }
 
         /** Units a second served in the mean; an outage only lowers it. */
@@ -410,13 +423,13 @@
      */
     private boolean admitted(Request request) {
         Node node = pick(request.lane);
-        double asked = request.lane.asked(request.units, now);
+        int rank = request.from == request.flow.reserve ? 0 : request.from == request.flow.share ? 1 : 2;
+        request.lane.asked(rank, request.units, now);
         if (node == null) {
             return true;
         }
-        int before = request.from == request.flow.reserve ? 0 : request.from == request.flow.share ? 1 : 2;
-        double cold = coldRate(node, request.lane) / asked;
-        double chance = Math.min(3 * node.part(now) - before, before == 0 ? cold : cold * cold);
+        double cold = request.lane.fits(rank, coldRate(node, request.lane));
+        double chance = Math.min(3 * node.part(now) - rank, cold);
         return chance >= 1 || random.nextDouble() < chance;
     }
 
