--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -67,9 +67,6 @@
     private static final double ASKED_MEMORY = 3e6;
     private static final long SERVED_MEMORY = 60_000_000;
     private static final long SERVED_LEAST = 4_000_000;
-    /** Time between trials of a suspect node: first, and at most. */
-    private static final long TRIAL_FIRST = 100_000;
-    private static final long TRIAL_MOST = 1_000_000;
     /** Back-off between asks for the list: first, and at most. */
     private static final long ASK_FIRST = 500_000;
     private static final long ASK_MOST = 4_000_000;
@@ -234,8 +231,8 @@
         int shard, stuck, connectStreak;
         boolean usable, suspect, brokenOff;
         double window = WINDOW_START, part = 1, uncut = 1, paceTime, paceUnits = PACE_START, outUnits, late, answers;
-        long startedAt, shrunkAt, partAt, cutAt, lateAt, suspectSince, lastBad, trialAt;
-        long lastAnswer = Long.MIN_VALUE / 2, trialPause = TRIAL_FIRST;
+        long startedAt, shrunkAt, partAt, cutAt, lateAt, suspectSince, lastBad;
+        long lastAnswer = Long.MIN_VALUE / 2;
         final List<Attempt> out = new ArrayList<>();
 
         Node(String address, long aim) {
@@ -371,7 +368,6 @@
             if (entry.startedAt() > node.startedAt) {
                 node.startedAt = entry.startedAt();
                 node.window = 1;
-                node.trialAt = now;
             }
         }
     }
@@ -700,10 +696,6 @@
         attempt.ahead = node.outUnits;
         request.attempts.add(attempt);
         node.out.add(attempt);
-        if (node.suspect || now + node.outUnits * node.pace() > request.due) {
-            node.trialAt = now + node.trialPause;
-            node.trialPause = Math.min(TRIAL_MOST, 2 * node.trialPause);
-        }
         out.add(new Send(request.id, node.address, 0));
     }
 
@@ -742,13 +734,13 @@
             }
             case CONNECT_FAILED -> {
                 node.lastBad = now;
+                lateness(attempt, FULL_LATE, 1);
                 if (++node.connectStreak >= CONNECT_STREAK) {
                     suspect(node, true);
                 }
             }
             case RESET -> {
-                suspect(node, false); // the connection is lost, the process perhaps not: ask at once
-                node.trialAt = Math.min(node.trialAt, now);
+                suspect(node, false); // the connection is lost, the process perhaps not
             }
             case TIMEOUT -> {
                 if (node.lastAnswer < attempt.sentAt && now - attempt.sentAt > SILENCE) {
@@ -767,9 +759,6 @@
         double keep = elapsed < RECOVERED * attempt.ahead * node.pace() ? PACE_FORGET : PACE_KEEP;
         node.paceTime = keep * node.paceTime + elapsed;
         node.paceUnits = keep * node.paceUnits + attempt.ahead;
-        if (now <= attempt.request.due) {
-            node.trialPause = TRIAL_FIRST;
-        }
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
         double share = elapsed / size / tightestAim;
         lateness(attempt, (double) elapsed / Math.max(1, attempt.request.kind.aim()), 1);
@@ -794,7 +783,6 @@
         if (node.suspect) {
             node.suspect = false;
             node.window = 1;
-            node.trialPause = TRIAL_FIRST;
             if (quick && now - node.suspectSince > (node.brokenOff ? RESTART_BROKEN : RESTART_SILENCE)) {
                 node.startedAt = Math.max(node.startedAt, node.lastBad);
             }
@@ -826,7 +814,6 @@
         if (!node.suspect) {
             node.suspect = true;
             node.suspectSince = now;
-            node.trialAt = now + TRIAL_FIRST;
             String sign = brokenOff ? ": broken off" : ": silent";
             remark("node " + node.address + sign + ", one trial at a time");
         }
@@ -867,7 +854,7 @@
     }
 
     private boolean hasToken(Node node) {
-        return node.suspect ? now >= node.trialAt && node.out.size() < OUT_MAX : node.tokens() >= 1;
+        return node.tokens() >= 1;
     }
 
     // ---------------------------------------------------------------- what to refuse
@@ -885,8 +872,7 @@
         byDue.sort(Comparator.comparingLong((Request r) -> r.due).thenComparingLong(r -> r.order));
         double pace = node == null ? 0 : node.pace();
         boolean busy = node != null && node.out.size() > node.stuck;
-        // A node too slow for its aims is still tried now and then, or its recovery would never be seen.
-        boolean trial = node == null || !busy && (!node.suspect || now >= node.trialAt);
+        // A node too slow for its aims still gets one at a time, or its recovery would never be seen.
         double ahead = node == null ? 0 : node.outUnits;
         PriorityQueue<Request> kept = new PriorityQueue<>(Comparator.comparingDouble((Request r) -> r.worth)
                 .thenComparing((a, b) -> Long.compare(b.order, a.order)));
@@ -897,7 +883,7 @@
             }
             kept.add(request);
             ahead += request.units;
-            while (now + CAUTION * ahead * pace > request.due && kept.size() > (trial ? 1 : 0)) {
+            while (now + CAUTION * ahead * pace > request.due && kept.size() > (busy ? 0 : 1)) {
                 Request least = kept.poll();
                 ahead -= least.units;
                 giveUp(least);
