--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -45,9 +45,6 @@
     private static final double PART_GROWTH = 4e6;
     /** Memory of a node's pace, per answer; about the last ten answers count. */
     private static final double PACE_KEEP = 0.9;
-    /** An answer in less than this share of the expected time shows recovery; then only so much is kept. */
-    private static final double RECOVERED = 0.2;
-    private static final double PACE_FORGET = 0.2;
     /** Units that fit into the tightest aim, until a node's pace is known. */
     private static final double PACE_START = 20;
     /** Multiple of the estimated wait that must fit before the aim. */
@@ -368,6 +365,7 @@
             if (entry.startedAt() > node.startedAt) {
                 node.startedAt = entry.startedAt();
                 node.window = 1;
+                node.part = 1; // what was learnt before the restart is void; the cold rate acts
             }
         }
     }
@@ -755,10 +753,8 @@
     private void learnPace(Node node, Attempt attempt, long elapsed) {
         boolean wasFull = node.tokens() < 2;
         attempt.request.lane.served(attempt.request.units, now);
-        // Far faster than believed: the trouble is over, and what was learnt in it goes.
-        double keep = elapsed < RECOVERED * attempt.ahead * node.pace() ? PACE_FORGET : PACE_KEEP;
-        node.paceTime = keep * node.paceTime + elapsed;
-        node.paceUnits = keep * node.paceUnits + attempt.ahead;
+        node.paceTime = PACE_KEEP * node.paceTime + elapsed;
+        node.paceUnits = PACE_KEEP * node.paceUnits + attempt.ahead;
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
         double share = elapsed / size / tightestAim;
         lateness(attempt, (double) elapsed / Math.max(1, attempt.request.kind.aim()), 1);
