--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -27,7 +27,6 @@
     private static final long LINGER_FIRST = 1_000_000;
     /** Most attempts counted in a window, and most out at one node in all, stuck ones included. */
     private static final double WINDOW_MAX = 6;
-    private static final int OUT_MAX = 8;
     private static final double WINDOW_START = 2;
     /** An answer slower than this share of the tightest aim shrinks the window; under QUICK it may grow. */
     private static final double SLOW = 0.5;
@@ -51,12 +50,7 @@
     private static final double CAUTION = 0.8;
     /** Silence after which a node is suspect: well past nodes' pauses, and past the expected answer. */
     private static final long SILENCE = 500_000;
-    private static final double SILENCE_TIMES = 4;
-    /** Failures to connect in a row that make a node suspect; one may be a full connection table. */
-    private static final int CONNECT_STREAK = 2;
-    /** A node silent for so long that answers again has probably restarted; pauses and jams are shorter. */
-    private static final long RESTART_SILENCE = 5_000_000;
-    /** The same where connecting failed; what answers sooner lost a connection, not its process. */
+    /** A node that cannot be reached for so long and answers again has probably restarted; what answers sooner lost a connection, not its process. */
     private static final long RESTART_BROKEN = 1_000_000;
     /** Part of what a cold node must bear that its hosts plan to send it; the rest is for chance and bursts. */
     private static final double COLD_PART = 1.5;
@@ -176,7 +170,7 @@
         Node node;
         long sentAt;
         double ahead;
-        boolean open = true, stuck;
+        boolean open = true;
     }
 
     /** What is held for one shard, in the order taken, and what this host asks of it and is served. */
@@ -233,11 +227,10 @@
     private static final class Node {
         final String address;
         String zone = "";
-        int shard, stuck, connectStreak;
-        boolean usable, suspect, brokenOff;
+        int shard;
+        boolean usable;
         double window = WINDOW_START, part = 1, uncut = 1, paceTime, paceUnits = PACE_START, outUnits, late, answers;
-        long startedAt, shrunkAt, partAt, cutAt, lateAt, suspectSince, lastBad;
-        long lastAnswer = Long.MIN_VALUE / 2;
+        long startedAt, shrunkAt, partAt, cutAt, lateAt, brokenSince, lastBroken;
         final List<Attempt> out = new ArrayList<>();
 
         Node(String address, long aim) {
@@ -267,7 +260,7 @@
         }
 
         double tokens() {
-            return Math.min(window - (out.size() - stuck), OUT_MAX - out.size());
+            return window - out.size();
         }
     }
 
@@ -499,7 +492,7 @@
             for (Node node : nodes.values()) {
                 Lane lane = lanes.get(node.shard);
                 double free = node.tokens() - (lane == null ? 0 : lane.held.size());
-                if (node.usable && !node.suspect && free > best) {
+                if (node.usable && node.brokenSince == 0 && free > best) {
                     best = free;
                     chosen = node.shard;
                 }
@@ -597,7 +590,6 @@
         Node node = attempt.node;
         node.out.remove(attempt);
         node.outUnits = node.out.isEmpty() ? 0 : node.outUnits - request.units;
-        node.stuck -= attempt.stuck ? 1 : 0;
         if (event.outcome().provesNotRun()) {
             request.unproven--;
         } else if (request.line != null && event.outcome() != Outcome.OK
@@ -745,21 +737,14 @@
                 lateness(attempt, FULL_LATE, 1);
             }
             case CONNECT_FAILED -> {
-                node.lastBad = now;
-                lateness(attempt, FULL_LATE, 1);
-                if (++node.connectStreak >= CONNECT_STREAK) {
-                    suspect(node, true);
-                }
-            }
-            case RESET -> {
-                suspect(node, false); // the connection is lost, the process perhaps not
-            }
-            case TIMEOUT -> {
-                if (node.lastAnswer < attempt.sentAt && now - attempt.sentAt > SILENCE) {
-                    suspect(node, false);
-                    lateness(attempt, (double) event.elapsed() / Math.max(1, attempt.request.kind.aim()), 1);
+                if (node.brokenSince == 0) {
+                    node.brokenSince = now;
+                    remark("node " + node.address + ": broken off");
                 }
+                node.lastBroken = now;
+                lateness(attempt, FULL_LATE, 1);
             }
+            case TIMEOUT -> lateness(attempt, (double) event.elapsed() / Math.max(1, attempt.request.kind.aim()), 1);
             default -> { }
         }
     }
@@ -788,14 +773,12 @@
      * started has no queue: a slow answer, or a full queue, after a silence is that of a jam.
      */
     private void answered(Node node, boolean quick) {
-        node.lastAnswer = now;
-        node.connectStreak = 0;
-        if (node.suspect) {
-            node.suspect = false;
-            node.window = 1;
-            if (quick && now - node.suspectSince > (node.brokenOff ? RESTART_BROKEN : RESTART_SILENCE)) {
-                node.startedAt = Math.max(node.startedAt, node.lastBad);
+        if (node.brokenSince > 0) {
+            if (quick && now - node.brokenSince > RESTART_BROKEN) {
+                node.startedAt = Math.max(node.startedAt, node.lastBroken);
+                node.window = 1;
             }
+            node.brokenSince = 0;
             remark("node " + node.address + ": answers again");
         }
     }
@@ -818,55 +801,27 @@
         }
     }
 
-    private void suspect(Node node, boolean brokenOff) {
-        node.lastBad = now;
-        node.brokenOff = node.suspect && node.brokenOff || brokenOff;
-        if (!node.suspect) {
-            node.suspect = true;
-            node.suspectSince = now;
-            String sign = brokenOff ? ": broken off" : ": silent";
-            remark("node " + node.address + sign + ", one trial at a time");
-        }
-        for (Attempt attempt : node.out) {
-            node.stuck += attempt.stuck ? 0 : 1;
-            attempt.stuck = true;
-        }
-    }
-
-    /** A node that has answered nothing since an old attempt was sent, far past what it should take. */
+    /** What is out for long tells before its end. */
     private void watchSilence(Node node) {
-        if (node.out.isEmpty()) {
-            return;
-        }
-        Attempt oldest = node.out.get(0);
-        lateness(oldest, (double) (now - oldest.sentAt) / Math.max(1, oldest.request.kind.aim()), 0);
-        long patience = Math.max(SILENCE, (long) (SILENCE_TIMES * oldest.ahead * node.pace()));
-        if (now - Math.max(oldest.sentAt, node.lastAnswer) > patience) {
-            if (!node.suspect) {
-                suspect(node, false);
-            } else {
-                node.lastBad = now;
-            }
+        if (!node.out.isEmpty()) {
+            Attempt oldest = node.out.get(0);
+            lateness(oldest, (double) (now - oldest.sentAt) / Math.max(1, oldest.request.kind.aim()), 0);
         }
     }
 
-    /** The node that serves a lane: usable, not suspect if there is a choice, with most free tokens. */
+    /** The node that serves a lane: usable, not broken off if there is a choice, with most free tokens. */
     private Node pick(Lane lane) {
         Node best = null;
         for (Node node : nodes.values()) {
             if (node.usable && node.shard == lane.shard && (best == null
-                    || best.suspect && !node.suspect
-                    || best.suspect == node.suspect && node.tokens() > best.tokens())) {
+                    || best.brokenSince > 0 && node.brokenSince == 0
+                    || best.brokenSince > 0 == node.brokenSince > 0 && node.tokens() > best.tokens())) {
                 best = node;
             }
         }
         return best;
     }
 
-    private boolean hasToken(Node node) {
-        return node.tokens() >= 1;
-    }
-
     // ---------------------------------------------------------------- what to refuse
 
     /**
@@ -881,7 +836,7 @@
         List<Request> byDue = new ArrayList<>(lane.held);
         byDue.sort(Comparator.comparingLong((Request r) -> r.due).thenComparingLong(r -> r.order));
         double pace = node == null ? 0 : node.pace();
-        boolean busy = node != null && node.out.size() > node.stuck;
+        boolean busy = node != null && !node.out.isEmpty();
         // A node too slow for its aims still gets one at a time, or its recovery would never be seen.
         double ahead = node == null ? 0 : node.outUnits;
         PriorityQueue<Request> kept = new PriorityQueue<>(Comparator.comparingDouble((Request r) -> r.worth)
@@ -919,7 +874,7 @@
     private void dispatch(Lane lane) {
         while (!lane.held.isEmpty()) {
             Node node = pick(lane);
-            if (node == null || !hasToken(node)) {
+            if (node == null || node.tokens() < 1) {
                 return;
             }
             Request next = choose(lane, node);
