--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -25,7 +25,7 @@
     private static final double LINGER_GAPS = 2;
     /** How long an emptied flow stays active before its mean gap is known. */
     private static final long LINGER_FIRST = 1_000_000;
-    /** Most attempts counted in a window, and most out at one node in all, stuck ones included. */
+    /** Most attempts out at one node, and how many at first. */
     private static final double WINDOW_MAX = 6;
     private static final double WINDOW_START = 2;
     /** An answer slower than this share of the tightest aim shrinks the window; under QUICK it may grow. */
@@ -48,9 +48,9 @@
     private static final double PACE_START = 20;
     /** Multiple of the estimated wait that must fit before the aim. */
     private static final double CAUTION = 0.8;
-    /** Silence after which a node is suspect: well past nodes' pauses, and past the expected answer. */
-    private static final long SILENCE = 500_000;
-    /** A node that cannot be reached for so long and answers again has probably restarted; what answers sooner lost a connection, not its process. */
+    /** Stands for the tightest aim where no class states one. */
+    private static final long AIM_UNTOLD = 500_000;
+    /** A node that could not be reached for so long has restarted; what answers sooner lost a connection. */
     private static final long RESTART_BROKEN = 1_000_000;
     /** Part of what a cold node must bear that its hosts plan to send it; the rest is for chance and bursts. */
     private static final double COLD_PART = 1.5;
@@ -104,7 +104,7 @@
         settings.classes().forEach(c -> classes.put(c.name(), c));
         settings.plans().forEach(p -> plans.put(p.name(), p));
         tightestAim = settings.classes().stream().mapToLong(RequestClass::aim).filter(a -> a > 0).min()
-                .orElse(SILENCE);
+                .orElse(AIM_UNTOLD);
     }
 
     // ---------------------------------------------------------------- state
@@ -150,7 +150,7 @@
 
     /** A request that is not over, or that still has an attempt out. */
     private static final class Request {
-        long id, order, arrived, validUntil, due, firstRun, notBefore;
+        long id, order, arrived, validUntil, due, firstRun;
         double units, worth;
         RequestClass kind;
         Plan plan;
@@ -619,11 +619,9 @@
                 || outcome == Outcome.CANCELLED || !mayResend(request) || !budgetLeft()) {
             return false;
         }
-        if (outcome == Outcome.FULL) {
-            Node node = request.attempts.get(request.attempts.size() - 1).node;
-            request.notBefore = now + (long) (request.units * node.pace());
-        }
-        return true;
+        // A queue that is full would not be done within the aim; the shard's next node may be.
+        Node last = request.attempts.get(request.attempts.size() - 1).node;
+        return outcome != Outcome.FULL || pick(request.lane) != last;
     }
 
     // ---------------------------------------------------------------- attempts
@@ -920,7 +918,7 @@
 
     /** What a send must keep: key order, limit; for further attempts effect, group and budget. */
     private boolean mayLeave(Request request, Node node) {
-        if (request.over || request.open > 0 || now < request.notBefore) {
+        if (request.over || request.open > 0) {
             return false;
         }
         KeyLine line = request.line;
