--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -33,15 +33,16 @@
     private static final double QUICK = 0.3;
     private static final double SHRINK = 0.8;
     private static final double GROW = 0.25;
-    /** A node's answers later than the aim cut the part of the demand let through to it, at most to so much; */
+    /** Late answers cut the part of the demand let through to a node: to so much where they take one aim, and more. */
+    private static final double CUT_AIM = 0.3;
     private static final double CUT_MOST = 0.05;
-    private static final double FULL_LATE = 3;
+    /** Lateness is a mean over about so long; a full queue or a broken connection counts as so many aims. */
     private static final double LATE_MEMORY = 0.4e6;
-    private static final double CUT_AIM = 0.3;
-    /** quick ones raise it, and it grows by itself, or what is thinned to nothing would never be seen to recover. */
-    private static final double PART_LEAST = 0.01;
+    private static final double FULL_LATE = 3;
+    /** A quick answer raises the part; it also grows by e in so long, for few may be left to tell of recovery. */
     private static final double PART_RAISE = 1.5;
     private static final double PART_GROWTH = 4e6;
+    private static final double PART_LEAST = 0.01;
     /** Memory of a node's pace, per answer; about the last ten answers count. */
     private static final double PACE_KEEP = 0.9;
     /** Units that fit into the tightest aim, until a node's pace is known. */
@@ -52,8 +53,9 @@
     private static final long AIM_UNTOLD = 500_000;
     /** A node that could not be reached for so long has restarted; what answers sooner lost a connection. */
     private static final long RESTART_BROKEN = 1_000_000;
-    /** Part of what a cold node must bear that its hosts plan to send it; the rest is for chance and bursts. */
+    /** Multiple of its part of what was served that a host sends a cold node: nodes are not served to the full. */
     private static final double COLD_PART = 1.5;
+    /** Most that is let through to it within the fall window, as a multiple of the planned rate. */
     private static final double SURGE = 1.3;
     /** Memory of what is asked of a shard, short, and of what its nodes served this host, long. */
     private static final double ASKED_MEMORY = 6e6;
@@ -159,7 +161,7 @@
         KeyLine line;
         Store from;
         Node ranAt;
-        boolean held, over, late, streaming, drawn;
+        boolean held, over, streaming, drawn;
         int open, unproven;
         final List<Attempt> attempts = new ArrayList<>(1);
     }
@@ -171,6 +173,11 @@
         long sentAt;
         double ahead;
         boolean open = true;
+
+        /** A time in aims of its request. */
+        double aims(long time) {
+            return (double) time / Math.max(1, request.kind.aim());
+        }
     }
 
     /** What is held for one shard, in the order taken, and what this host asks of it and is served. */
@@ -229,7 +236,8 @@
         String zone = "";
         int shard;
         boolean usable;
-        double window = WINDOW_START, part = 1, uncut = 1, paceTime, paceUnits = PACE_START, outUnits, late, answers;
+        double window = WINDOW_START, part = 1, uncut = 1, late, answers;
+        double paceTime, paceUnits = PACE_START, outUnits;
         long startedAt, shrunkAt, partAt, cutAt, lateAt, brokenSince, lastBroken;
         final List<Attempt> out = new ArrayList<>();
 
@@ -392,7 +400,7 @@
         requests.put(request.id, request);
         request.flow = flow(event, request.plan);
         request.lane = lane(event.shard());
-        judge(request);
+        boolean late = judge(request);
         Flow flow = request.flow;
         if (flow.lastArrival >= 0) {
             double gap = now - flow.lastArrival;
@@ -407,14 +415,14 @@
             request.line.waiting.add(request);
         }
         hold(request);
-        if (beyondLimit(request) || !admitted(request)) {
+        if (late || beyondLimit(request) || !admitted(request)) {
             giveUp(request);
         }
     }
 
     /**
-     * Whether chance lets a request through to a node that bears only a part of what is asked: each host passes
-     * that part of its own demand, so that all together keep it, however many they are and however little each asks.
+     * Whether chance lets a request through to a node that bears only a part of what is asked. Each host passes that
+     * part of its own demand, so all together keep it, however many they are and however little each asks.
      */
     private boolean admitted(Request request) {
         Node node = pick(request.lane);
@@ -427,34 +435,33 @@
         double seen = 1 - Math.exp((bornAt - now - settings.tick()) / ASKED_MEMORY);
         double rate = coldRate(node, request.lane);
         double chance = Math.min(3 * node.part(now) - rank, request.lane.fits(rank, rate * seen));
-        if (chance < 1 && random.nextDouble() >= chance || request.lane.surging(rate, settings.mostUnits(), rules.fall(), now)) {
-            return false;
-        }
-        request.lane.let += request.units;
-        return true;
+        boolean lets = (chance >= 1 || random.nextDouble() < chance)
+                && !request.lane.surging(rate, settings.mostUnits(), rules.fall(), now);
+        request.lane.let += lets ? request.units : 0;
+        return lets;
     }
 
-    /** When a request must be answered to earn its worth, and what that is for each unit. */
-    private void judge(Request request) {
+    /**
+     * When a request must be answered to earn its worth, and what that is for each unit. True for a client's retry
+     * that would come past its aim: it earns little and would take the place of work in time.
+     */
+    private boolean judge(Request request) {
         RequestClass kind = request.kind;
         long end = request.validUntil / MOMENT;
-        Long first = givenUp.get(new Trace(request.flow, kind.name(), request.units, end));
-        long age = first == null ? 0 : now - first;
-        request.arrived = now - age;
-        request.due = request.arrived + kind.aim();
+        long first = givenUp.getOrDefault(new Trace(request.flow, kind.name(), request.units, end), now);
+        request.arrived = first;
+        request.due = Math.min(first + kind.aim(), request.validUntil - lead());
         request.worth = kind.worth() * request.plan.worthFactor();
         Node node = pick(request.lane);
         double own = node == null ? 0 : request.units * node.pace() / Math.max(1, node.window);
-        if (age > 0 && request.due < now + own / 2) {
-            // A client's retry after its aim earns little: served only where nothing else wants the node.
-            request.late = true;
-            request.due = request.validUntil - lead();
-            request.worth *= kind.lateShare() * settings.idleWorth();
-        } else if (!claim(request, request.flow.reserve)) {
+        if (first < now && request.due < now + own / 2) {
+            return true;
+        }
+        if (!claim(request, request.flow.reserve)) {
             boolean inShare = claim(request, request.flow.share);
             request.worth *= inShare ? settings.shareWorth() : settings.idleWorth();
         }
-        request.due = Math.min(request.due, request.validUntil - lead());
+        return false;
     }
 
     private boolean claim(Request request, Store store) {
@@ -742,7 +749,7 @@
                 node.lastBroken = now;
                 lateness(attempt, FULL_LATE, 1);
             }
-            case TIMEOUT -> lateness(attempt, (double) event.elapsed() / Math.max(1, attempt.request.kind.aim()), 1);
+            case TIMEOUT -> lateness(attempt, attempt.aims(event.elapsed()), 1);
             default -> { }
         }
     }
@@ -754,7 +761,7 @@
         node.paceUnits = PACE_KEEP * node.paceUnits + attempt.ahead;
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
         double share = elapsed / size / tightestAim;
-        lateness(attempt, (double) elapsed / Math.max(1, attempt.request.kind.aim()), 1);
+        lateness(attempt, attempt.aims(elapsed), 1);
         if (share < SLOW) {
             node.part = Math.min(1, node.part(now) * PART_RAISE);
         }
@@ -803,7 +810,7 @@
     private void watchSilence(Node node) {
         if (!node.out.isEmpty()) {
             Attempt oldest = node.out.get(0);
-            lateness(oldest, (double) (now - oldest.sentAt) / Math.max(1, oldest.request.kind.aim()), 0);
+            lateness(oldest, oldest.aims(now - oldest.sentAt), 0);
         }
     }
 
@@ -840,7 +847,7 @@
         PriorityQueue<Request> kept = new PriorityQueue<>(Comparator.comparingDouble((Request r) -> r.worth)
                 .thenComparing((a, b) -> Long.compare(b.order, a.order)));
         for (Request request : byDue) {
-            if (now >= request.due || request.late) {
+            if (now >= request.due) {
                 giveUp(request);
                 continue;
             }
