--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -33,27 +31,21 @@
     private static final double QUICK = 0.3;
     private static final double SHRINK = 0.8;
     private static final double GROW = 0.25;
-    /** Late answers cut the part of the demand let through to a node: to so much where they take one aim, and more. */
+    /** Late answers cut the part of the demand let through to a node: to so much at one aim, and at most. */
     private static final double CUT_AIM = 0.3;
     private static final double CUT_MOST = 0.05;
     /** Lateness is a mean over about so long; a full queue or a broken connection counts as so many aims. */
     private static final double LATE_MEMORY = 0.4e6;
     private static final double FULL_LATE = 3;
-    /** A quick answer raises the part; it also grows by e in so long, for few may be left to tell of recovery. */
+    /** A quick answer raises the part; it also grows by e in so long, as few may be left to tell. */
     private static final double PART_RAISE = 1.5;
     private static final double PART_GROWTH = 4e6;
     private static final double PART_LEAST = 0.01;
-    /** Memory of a node's pace, per answer; about the last ten answers count. */
-    private static final double PACE_KEEP = 0.9;
-    /** Units that fit into the tightest aim, until a node's pace is known. */
-    private static final double PACE_START = 20;
-    /** Multiple of the estimated wait that must fit before the aim. */
-    private static final double CAUTION = 0.8;
     /** Stands for the tightest aim where no class states one. */
     private static final long AIM_UNTOLD = 500_000;
     /** A node that could not be reached for so long has restarted; what answers sooner lost a connection. */
     private static final long RESTART_BROKEN = 1_000_000;
-    /** Multiple of its part of what was served that a host sends a cold node: nodes are not served to the full. */
+    /** Multiple of its part of what it was served that a host sends a cold node: few run at their full. */
     private static final double COLD_PART = 1.5;
     /** Most that is let through to it within the fall window, as a multiple of the planned rate. */
     private static final double SURGE = 1.3;
@@ -153,7 +145,7 @@
     /** A request that is not over, or that still has an attempt out. */
     private static final class Request {
         long id, order, arrived, validUntil, due, firstRun;
-        double units, worth;
+        double units;
         RequestClass kind;
         Plan plan;
         Flow flow;
@@ -166,12 +158,11 @@
         final List<Attempt> attempts = new ArrayList<>(1);
     }
 
-    /** One send; {@code ahead} is what this host had out at the node then, itself included. */
+    /** One send. */
     private static final class Attempt {
         Request request;
         Node node;
         long sentAt;
-        double ahead;
         boolean open = true;
 
         /** A time in aims of its request. */
@@ -203,7 +194,7 @@
             askedAt = now;
         }
 
-        /** Whether what was let through of late is past a rate, as when the demand rises faster than it is known. */
+        /** Whether what was let through of late is past a rate, as when demand rises faster than is known. */
         boolean surging(double rate, double one, long memory, long now) {
             let *= Math.exp((letAt - now) / Math.max(1.0, memory));
             letAt = now;
@@ -237,18 +228,11 @@
         int shard;
         boolean usable;
         double window = WINDOW_START, part = 1, uncut = 1, late, answers;
-        double paceTime, paceUnits = PACE_START, outUnits;
         long startedAt, shrunkAt, partAt, cutAt, lateAt, brokenSince, lastBroken;
         final List<Attempt> out = new ArrayList<>();
 
-        Node(String address, long aim) {
+        Node(String address) {
             this.address = address;
-            paceTime = aim;
-        }
-
-        /** Time a unit takes to get through with what is out here. */
-        double pace() {
-            return paceTime / paceUnits;
         }
 
         /** Part of the demand that is let through; it grows with time. */
@@ -367,7 +351,7 @@
             nodes.values().forEach(n -> n.usable = false);
         }
         for (NodeEntry entry : news.entries()) {
-            Node node = nodes.computeIfAbsent(entry.address(), address -> new Node(address, tightestAim));
+            Node node = nodes.computeIfAbsent(entry.address(), Node::new);
             node.zone = entry.zone();
             node.shard = entry.shard();
             node.usable = entry.state() == NodeState.UP;
@@ -421,8 +405,9 @@
     }
 
     /**
-     * Whether chance lets a request through to a node that bears only a part of what is asked. Each host passes that
-     * part of its own demand, so all together keep it, however many they are and however little each asks.
+     * Whether chance lets a request through to a node that bears only a part of what is asked. Each host passes
+     * that part of its own demand, so all together keep it, however many they are and however little each asks.
+     * A jam first stops what is past reserve and share, then the share, and only then thins the reserve.
      */
     private boolean admitted(Request request) {
         Node node = pick(request.lane);
@@ -442,8 +427,8 @@
     }
 
     /**
-     * When a request must be answered to earn its worth, and what that is for each unit. True for a client's retry
-     * that would come past its aim: it earns little and would take the place of work in time.
+     * When a request must be answered to earn its worth, and from which store. True for a client's retry that
+     * comes past its aim: it earns little and would take the place of work in time.
      */
     private boolean judge(Request request) {
         RequestClass kind = request.kind;
@@ -451,15 +436,11 @@
         long first = givenUp.getOrDefault(new Trace(request.flow, kind.name(), request.units, end), now);
         request.arrived = first;
         request.due = Math.min(first + kind.aim(), request.validUntil - lead());
-        request.worth = kind.worth() * request.plan.worthFactor();
-        Node node = pick(request.lane);
-        double own = node == null ? 0 : request.units * node.pace() / Math.max(1, node.window);
-        if (first < now && request.due < now + own / 2) {
+        if (first < now && request.due <= now) {
             return true;
         }
         if (!claim(request, request.flow.reserve)) {
-            boolean inShare = claim(request, request.flow.share);
-            request.worth *= inShare ? settings.shareWorth() : settings.idleWorth();
+            claim(request, request.flow.share);
         }
         return false;
     }
@@ -596,7 +577,6 @@
         request.flow.inFlight--;
         Node node = attempt.node;
         node.out.remove(attempt);
-        node.outUnits = node.out.isEmpty() ? 0 : node.outUnits - request.units;
         if (event.outcome().provesNotRun()) {
             request.unproven--;
         } else if (request.line != null && event.outcome() != Outcome.OK
@@ -697,12 +677,10 @@
         request.open++;
         request.flow.inFlight++;
         request.flow.vt += request.units / request.flow.weight;
-        node.outUnits += request.units;
         Attempt attempt = new Attempt();
         attempt.request = request;
         attempt.node = node;
         attempt.sentAt = now;
-        attempt.ahead = node.outUnits;
         request.attempts.add(attempt);
         node.out.add(attempt);
         out.add(new Send(request.id, node.address, 0));
@@ -711,9 +689,9 @@
     // ---------------------------------------------------------------- nodes: cold, suspect, deep
 
     /**
-     * Units a second this host may send a node that started lately; without end once it must be warm. What all hosts
-     * were served by a shard is at most what its node can do, so a part of each host's own keeps all within that
-     * part. A host that remembers nothing has its even part of the figure that is always safe.
+     * Units a second this host may send a node that started lately; without end once it must be warm. What all
+     * hosts were served by a shard is at most what its node can do, so a part of each host's own keeps all within
+     * that part. A host that remembers nothing has its even part of the figure that is always safe.
      */
     private double coldRate(Node node, Lane lane) {
         long age = now - node.startedAt;
@@ -733,7 +711,7 @@
         switch (event.outcome()) {
             case OK -> {
                 answered(node, event.elapsed() < tightestAim / 2);
-                learnPace(node, attempt, Math.max(1, event.elapsed()));
+                learn(node, attempt, Math.max(1, event.elapsed()));
             }
             case ERROR -> answered(node, event.elapsed() < tightestAim / 2);
             case FULL -> {
@@ -754,11 +732,9 @@
         }
     }
 
-    private void learnPace(Node node, Attempt attempt, long elapsed) {
+    private void learn(Node node, Attempt attempt, long elapsed) {
         boolean wasFull = node.tokens() < 2;
         attempt.request.lane.served(attempt.request.units, now);
-        node.paceTime = PACE_KEEP * node.paceTime + elapsed;
-        node.paceUnits = PACE_KEEP * node.paceUnits + attempt.ahead;
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
         double share = elapsed / size / tightestAim;
         lateness(attempt, attempt.aims(elapsed), 1);
@@ -774,8 +750,8 @@
     }
 
     /**
-     * Any answer shows a running process; after signs of a restart it counts as just started. One that has just
-     * started has no queue: a slow answer, or a full queue, after a silence is that of a jam.
+     * Any answer shows a running process; one that could not be reached before counts as just started, if it is
+     * quick: a process that has just started has no queue.
      */
     private void answered(Node node, boolean quick) {
         if (node.brokenSince > 0) {
@@ -789,8 +765,9 @@
     }
 
     /**
-     * Times of answers, in aims, that are above one in the mean of the last moment tell that a node is asked for too
-     * much; so does an attempt that is still out. Where a host has but one answer in that time, it must do.
+     * Answers that take over one aim in the mean of the last moment tell that a node is asked for too much,
+     * whatever made it slow: jam, ageing, silence or a pause. An attempt still out tells so before its end. Where a
+     * host has many answers one late one does not count; where it has but one in that time, it must do.
      */
     private void lateness(Attempt attempt, double late, int answers) {
         Node node = attempt.node;
@@ -806,7 +783,7 @@
         }
     }
 
-    /** What is out for long tells before its end. */
+    /** What is out for long tells before its end; a node in silence is left alone by this. */
     private void watchSilence(Node node) {
         if (!node.out.isEmpty()) {
             Attempt oldest = node.out.get(0);
@@ -829,34 +806,11 @@
 
     // ---------------------------------------------------------------- what to refuse
 
-    /**
-     * Refuses what cannot be answered in time. In order of due times, what is held must fit into the wait
-     * the node predicts; where it does not, what is of least worth a unit goes, the latest first.
-     */
+    /** Refuses what is held past its aim: late work would take the place of work in time. */
     private void shed(Lane lane) {
-        if (lane.held.isEmpty()) {
-            return;
-        }
-        Node node = pick(lane);
-        List<Request> byDue = new ArrayList<>(lane.held);
-        byDue.sort(Comparator.comparingLong((Request r) -> r.due).thenComparingLong(r -> r.order));
-        double pace = node == null ? 0 : node.pace();
-        boolean busy = node != null && !node.out.isEmpty();
-        // A node too slow for its aims still gets one at a time, or its recovery would never be seen.
-        double ahead = node == null ? 0 : node.outUnits;
-        PriorityQueue<Request> kept = new PriorityQueue<>(Comparator.comparingDouble((Request r) -> r.worth)
-                .thenComparing((a, b) -> Long.compare(b.order, a.order)));
-        for (Request request : byDue) {
+        for (Request request : List.copyOf(lane.held)) {
             if (now >= request.due) {
                 giveUp(request);
-                continue;
-            }
-            kept.add(request);
-            ahead += request.units;
-            while (now + CAUTION * ahead * pace > request.due && kept.size() > (busy ? 0 : 1)) {
-                Request least = kept.poll();
-                ahead -= least.units;
-                giveUp(least);
             }
         }
     }
