--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -14,7 +14,8 @@
  *
  * <p>The ordinary path is the virtual-time fair queueing of docs/design.md: volumes are flows, a lane holds
  * what waits for one shard, its node's tokens are filled from the longest eligible queue. Around it stand the
- * guards: what to refuse, how deep a window is, cold and suspect nodes, limits, key order, the retry budget.
+ * guards: what to refuse, how deep a window is, what an overrun or cold node is let have, limits, key order,
+ * the retry budget.
  */
 public final class Control implements Scheduler {
     /** T: units over weight a flow may be ahead; a few mean requests, so that a run stays together. */
@@ -405,9 +406,10 @@
     }
 
     /**
-     * Whether chance lets a request through to a node that bears only a part of what is asked. Each host passes
-     * that part of its own demand, so all together keep it, however many they are and however little each asks.
-     * A jam first stops what is past reserve and share, then the share, and only then thins the reserve.
+     * Whether chance lets a request through to a node that bears only a part of what is asked. Each host
+     * passes that part of its own demand, so all together keep it, however many they are and however little
+     * each asks. A jam first stops what is past reserve and share, then the share, and only then thins the
+     * reserve.
      */
     private boolean admitted(Request request) {
         Node node = pick(request.lane);
@@ -689,9 +691,10 @@
     // ---------------------------------------------------------------- nodes: cold, suspect, deep
 
     /**
-     * Units a second this host may send a node that started lately; without end once it must be warm. What all
-     * hosts were served by a shard is at most what its node can do, so a part of each host's own keeps all within
-     * that part. A host that remembers nothing has its even part of the figure that is always safe.
+     * Units a second this host may send a node that started lately; without end once it must be warm. What
+     * all hosts were served by a shard is at most what its node can do, so a part of each host's own keeps
+     * all within that part. A host that remembers nothing has its even part of the figure that is always
+     * safe.
      */
     private double coldRate(Node node, Lane lane) {
         long age = now - node.startedAt;
@@ -750,8 +753,8 @@
     }
 
     /**
-     * Any answer shows a running process; one that could not be reached before counts as just started, if it is
-     * quick: a process that has just started has no queue.
+     * Any answer shows a running process; one that could not be reached before counts as just started, if it
+     * is quick: a process that has just started has no queue.
      */
     private void answered(Node node, boolean quick) {
         if (node.brokenSince > 0) {
@@ -766,8 +769,9 @@
 
     /**
      * Answers that take over one aim in the mean of the last moment tell that a node is asked for too much,
-     * whatever made it slow: jam, ageing, silence or a pause. An attempt still out tells so before its end. Where a
-     * host has many answers one late one does not count; where it has but one in that time, it must do.
+     * whatever made it slow: jam, ageing, silence or a pause. An attempt still out tells so before its end.
+     * Where a host has many answers one late one does not count; where it has but one in that time, it must
+     * do.
      */
     private void lateness(Attempt attempt, double late, int answers) {
         Node node = attempt.node;
