--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -36,7 +36,7 @@
     private static final double CUT_AIM = 0.3;
     private static final double CUT_MOST = 0.05;
     /** Lateness is a mean over about so long; a full queue or a broken connection counts as so many aims. */
-    private static final double LATE_MEMORY = 0.4e6;
+    private static final double LATE_MEMORY = 0.8e6;
     private static final double FULL_LATE = 3;
     /** A quick answer raises the part; it also grows by e in so long, as few may be left to tell. */
     private static final double PART_RAISE = 1.5;
