--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -229,7 +229,7 @@
         int shard;
         boolean usable;
         double window = WINDOW_START, part = 1, uncut = 1, late, answers;
-        long startedAt, shrunkAt, partAt, cutAt, lateAt, brokenSince, lastBroken;
+        long startedAt, shrunkAt, partAt, cutAt, lateAt, overtook, brokenSince, lastBroken;
         final List<Attempt> out = new ArrayList<>();
 
         Node(String address) {
@@ -730,7 +730,11 @@
                 node.lastBroken = now;
                 lateness(attempt, FULL_LATE, 1);
             }
-            case TIMEOUT -> lateness(attempt, attempt.aims(event.elapsed()), 1);
+            case TIMEOUT -> {
+                if (attempt.sentAt >= node.overtook) {
+                    lateness(attempt, attempt.aims(event.elapsed()), 1);
+                }
+            }
             default -> { }
         }
     }
@@ -738,6 +742,7 @@
     private void learn(Node node, Attempt attempt, long elapsed) {
         boolean wasFull = node.tokens() < 2;
         attempt.request.lane.served(attempt.request.units, now);
+        node.overtook = Math.max(node.overtook, attempt.sentAt);
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
         double share = elapsed / size / tightestAim;
         lateness(attempt, attempt.aims(elapsed), 1);
@@ -787,11 +792,13 @@
         }
     }
 
-    /** What is out for long tells before its end; a node in silence is left alone by this. */
+    /** What is out for long tells before its end; what later answers have overtaken is lost and tells nothing. */
     private void watchSilence(Node node) {
-        if (!node.out.isEmpty()) {
-            Attempt oldest = node.out.get(0);
-            lateness(oldest, oldest.aims(now - oldest.sentAt), 0);
+        for (Attempt attempt : node.out) {
+            if (attempt.sentAt >= node.overtook) {
+                lateness(attempt, attempt.aims(now - attempt.sentAt), 0);
+                return;
+            }
         }
     }
 
