--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -27,6 +27,8 @@
     /** Most attempts out at one node, and how many at first. */
     private static final double WINDOW_MAX = 6;
     private static final double WINDOW_START = 2;
+    /** Most out at one node, lost ones included. */
+    private static final int OUT_MAX = 8;
     /** An answer slower than this share of the tightest aim shrinks the window; under QUICK it may grow. */
     private static final double SLOW = 0.5;
     private static final double QUICK = 0.3;
@@ -252,8 +254,10 @@
             part = Math.max(PART_LEAST, Math.min(part(now), uncut * to));
         }
 
-        double tokens() {
-            return window - out.size();
+        /** Free tokens; what was overtaken by a later answer and is past its aim is lost, and holds none. */
+        double tokens(long now) {
+            long waited = out.stream().filter(a -> a.sentAt >= overtook || a.aims(now - a.sentAt) < 1).count();
+            return Math.min(window - waited, OUT_MAX - out.size());
         }
     }
 
@@ -481,7 +485,7 @@
             double best = Double.NEGATIVE_INFINITY;
             for (Node node : nodes.values()) {
                 Lane lane = lanes.get(node.shard);
-                double free = node.tokens() - (lane == null ? 0 : lane.held.size());
+                double free = node.tokens(now) - (lane == null ? 0 : lane.held.size());
                 if (node.usable && node.brokenSince == 0 && free > best) {
                     best = free;
                     chosen = node.shard;
@@ -740,7 +744,7 @@
     }
 
     private void learn(Node node, Attempt attempt, long elapsed) {
-        boolean wasFull = node.tokens() < 2;
+        boolean wasFull = node.tokens(now) < 2;
         attempt.request.lane.served(attempt.request.units, now);
         node.overtook = Math.max(node.overtook, attempt.sentAt);
         double size = Math.max(1, attempt.request.units / (2 * Math.max(0.1, settings.meanUnits())));
@@ -808,7 +812,7 @@
         for (Node node : nodes.values()) {
             if (node.usable && node.shard == lane.shard && (best == null
                     || best.brokenSince > 0 && node.brokenSince == 0
-                    || best.brokenSince > 0 == node.brokenSince > 0 && node.tokens() > best.tokens())) {
+                    || best.brokenSince > 0 == node.brokenSince > 0 && node.tokens(now) > best.tokens(now))) {
                 best = node;
             }
         }
@@ -844,7 +848,7 @@
     private void dispatch(Lane lane) {
         while (!lane.held.isEmpty()) {
             Node node = pick(lane);
-            if (node == null || node.tokens() < 1) {
+            if (node == null || node.tokens(now) < 1) {
                 return;
             }
             Request next = choose(lane, node);
--- a/src/test/java/garnetreel/RulesTest.java
+++ b/src/test/java/garnetreel/RulesTest.java
@@ -250,6 +250,23 @@
         assertEquals(1, bench.sends(hasty.id()));
     }
 
+    /** Incident if6eb59: answers lost on the network, while later ones come quickly, say nothing of a node's queue. */
+    @Test
+    void lostAnswersLeaveTheirNodeInUse() {
+        Bench bench = Bench.with(1);
+        int sent = 0;
+        for (int i = 0; i < 35; i++) {
+            long id = bench.ask("read", i % 5, 1);
+            sent += bench.sends(id);
+            bench.pass(20 * MS);
+            if (bench.open(id) && i % 5 != 0) {
+                bench.end(id, Outcome.OK);
+            }
+            bench.pass(80 * MS);
+        }
+        assertTrue(sent >= 34, sent + " of 35 sent");
+    }
+
     /** Random troubles of every kind: no exception, every rule kept, every request answered, and the way back. */
     @Test
     void randomTroublesBreakNoRule() {
