--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -256,8 +256,8 @@
 
         /** Free tokens; what was overtaken by a later answer and is past its aim is lost, and holds none. */
         double tokens(long now) {
-            long waited = out.stream().filter(a -> a.sentAt >= overtook || a.aims(now - a.sentAt) < 1).count();
-            return Math.min(window - waited, OUT_MAX - out.size());
+            long live = out.stream().filter(a -> a.sentAt >= overtook || a.aims(now - a.sentAt) < 1).count();
+            return Math.min(window - live, OUT_MAX - out.size());
         }
     }
 
@@ -796,7 +796,7 @@
         }
     }
 
-    /** What is out for long tells before its end; what later answers have overtaken is lost and tells nothing. */
+    /** What is out for long tells before its end; what later answers have overtaken tells nothing. */
     private void watchSilence(Node node) {
         for (Attempt attempt : node.out) {
             if (attempt.sentAt >= node.overtook) {
