--- a/src/main/java/garnetreel/Control.java
+++ b/src/main/java/garnetreel/Control.java
@@ -68,8 +68,6 @@
     private static final long MOMENT = 5_000;
     /** Requests given up that are remembered. */
     private static final int TRACES = 4_096;
-    /** Units past the reserve that count as inside the share, as a multiple of the plan's usual rate. */
-    private static final double SHARE_RATE = 1.0;
     /** A flow unused for this long is forgotten. */
     private static final long FORGET = 60_000_000;
     private static final int REMARKS = 60;
@@ -150,7 +148,6 @@
         long id, order, arrived, validUntil, due, firstRun;
         double units;
         RequestClass kind;
-        Plan plan;
         Flow flow;
         Lane lane;
         KeyLine line;
@@ -364,6 +361,8 @@
                 node.startedAt = entry.startedAt();
                 node.window = 1;
                 node.part = 1; // what was learnt before the restart is void; the cold rate acts
+                // What is held since before it came up must not rush to it.
+                List.copyOf(lane(node.shard).held).stream().filter(r -> !admitted(r)).forEach(this::giveUp);
             }
         }
     }
@@ -383,11 +382,11 @@
         request.order = sequence++;
         request.kind = classes.getOrDefault(event.className(), new RequestClass(event.className(), span, 0,
                 span, Effect.ONCE, Group.CELL, 0, false, 0, 1, false, event.write()));
-        request.plan = plans.getOrDefault(event.plan(), new Plan(event.plan(), 0, 0, 0, 1, 0, 0, 1));
+        Plan plan = plans.getOrDefault(event.plan(), new Plan(event.plan(), 0, 0, 0, 1, 0, 0, 1));
         request.validUntil = event.validUntil();
         request.units = Double.isFinite(event.units()) && event.units() > 0 ? event.units() : 1;
         requests.put(request.id, request);
-        request.flow = flow(event, request.plan);
+        request.flow = flow(event, plan);
         request.lane = lane(event.shard());
         boolean late = judge(request);
         Flow flow = request.flow;
@@ -468,7 +467,7 @@
             Flow flow = new Flow();
             flow.weight = plan.weight() > 0 ? plan.weight() : 1;
             double reserve = plan.reserve() * seen;
-            double share = plan.rate() * SHARE_RATE * seen;
+            double share = plan.rate() * seen;
             flow.reserve = new Store(reserve, reserve + most, reserve + most, now);
             flow.share = new Store(share, share + most, share + most, now);
             // A restarted host must not have the burst again: the store counts as empty at this host's start.
