--- a/src/test/java/garnetreel/FleetTest.java
+++ b/src/test/java/garnetreel/FleetTest.java
@@ -9,10 +9,13 @@
 import garnetreel.Scheduler.Arrived;
 import garnetreel.Scheduler.Ended;
 import garnetreel.Scheduler.Event;
+import garnetreel.Scheduler.Fail;
 import garnetreel.Scheduler.ListKind;
 import garnetreel.Scheduler.NodeNews;
 import garnetreel.Scheduler.NodeState;
 import garnetreel.Scheduler.Outcome;
+import garnetreel.Scheduler.Plan;
+import garnetreel.Scheduler.Refuse;
 import garnetreel.Scheduler.Rules;
 import garnetreel.Scheduler.Send;
 import garnetreel.Scheduler.Settings;
@@ -36,14 +39,19 @@
     private long ids;
 
     private void start(int count) {
+        for (int i = 0; i < count; i++) {
+            hosts.add(null);
+            restart(i, count);
+        }
+    }
+
+    private void restart(int host, int count) {
         Settings s = Bench.settings();
         Settings settings = new Settings(0, count, false, s.classes(), s.plans(), s.rules(), s.youngLimit(),
                 s.meanUnits(), s.mostUnits(), s.shareWorth(), s.idleWorth(), false, 0, 3, false, true, false, false,
                 SEC, 250 * MS, 2 * MS);
-        for (int i = 0; i < count; i++) {
-            hosts.add(new Control(settings, i));
-            list(i, 0);
-        }
+        hosts.set(host, new Control(settings, host));
+        list(host, 0);
     }
 
     private void list(int host, long startedAt) {
@@ -119,6 +127,56 @@
         assertTrue(first > 0 && first < 1.5 * safe, first + " against " + safe);
     }
 
+    /** One store for a volume over all its hosts, at any number of them, and also when they restart in turn. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 8})
+    void aLimitHoldsInSumAlsoWhenHostsRestart(int count) {
+        start(count);
+        Plan plan = Bench.settings().plans().get(2);
+        double level = plan.burst();
+        double total = 0;
+        long step = 20 * MS;
+        for (int i = 0; i < 1_500; i++) {
+            now += step;
+            level = Math.min(plan.burst(), level + plan.limit() * step / SEC);
+            if (i % 200 == 199) {
+                restart(i / 200 % count, count);
+            }
+            Control host = hosts.get(random.nextInt(count));
+            Event arrived = new Arrived(ids, "read", "capped", -1, now + 2 * SEC, 1, 1, 0, count, false, false);
+            for (Action action : host.turn(now, List.of(arrived))) {
+                if (action instanceof Send send) {
+                    level -= 1;
+                    total += 1;
+                    host.turn(now + MS, List.of(new Ended(send.id(), 0, "n0", Outcome.OK, MS, true, 0, 0, Map.of())));
+                }
+            }
+            ids++;
+            assertTrue(level >= -plan.slack(), "limit passed: " + level);
+        }
+        assertTrue(total > 0.7 * plan.limit() * 1_500 * step / SEC, "held far under the limit: " + total);
+    }
+
+    /** Host counts that are missing or odd count as unknown; time that jumps loses no request. */
+    @Test
+    void oddHostCountsAndJumpsOfTimeLoseNothing() {
+        start(1);
+        Control host = hosts.get(0);
+        int answers = 0;
+        for (int count : new int[] {0, -3, Integer.MAX_VALUE, 5}) {
+            now += 7 * SEC;
+            List<Action> actions = host.turn(now, List.of(new Alarm("look"),
+                    new Arrived(ids++, "once", "capped", -1, now + SEC, count, 1, 0, count, false, false)));
+            now += 9 * SEC;
+            answers += finals(actions) + finals(host.turn(now, List.of(new Alarm("look"))));
+        }
+        assertTrue(answers == 4, answers + " final answers to 4 requests");
+    }
+
+    private static long finals(List<Action> actions) {
+        return actions.stream().filter(a -> a instanceof Refuse || a instanceof Fail).count();
+    }
+
     /** Incident i4e73b4: a queue that never ends must not be fed by every host's one request. */
     @Test
     void manyHostsLeaveAJammedNodeAloneAndComeBack() {
