Maven modules: the decision module and the adapter move unchanged, protocols begin

Need: the program is to grow around the decision module, with one direction of dependency. Change: modules policy, simhost, codec, core, store, net, standin, cli. The codec module holds the NBD handshake and request parsers, the frames, node and node list protocols.

--- /dev/null
+++ b/codec/src/main/java/garnetreel/codec/node/NodeMessage.java
@@ -0,0 +1,78 @@
+package garnetreel.codec.node;
+
+import java.util.Map;
+
+/**
+ * What a head and a storage node say to each other; docs/node-protocol.md has the bytes. A head opens the connection
+ * and says {@link Hello}; both may then have any number of messages under way, answers in any order.
+ */
+public sealed interface NodeMessage {
+
+    /** What is asked for. The order is that of the wire. */
+    enum Op {
+        READ, WRITE, ZERO, TRIM, FLUSH, CACHE, STATUS;
+
+        /** Whether data on the node may change. */
+        public boolean changes() {
+            return this == WRITE || this == ZERO || this == TRIM;
+        }
+    }
+
+    /** How the node answers. The order is that of the wire. */
+    enum Result {
+        /** Done. */
+        OK,
+        /** Not done, or done in part: it may have run. */
+        ERROR,
+        /** Not looked at: the queue is full or the node drains. */
+        FULL,
+        /** Not looked at: the node does not hold that shard. */
+        MOOT
+    }
+
+    /**
+     * First message of a connection.
+     *
+     * @param head number of the head
+     * @param incarnation tells one life of that head from the next; repeats are known within one only
+     */
+    record Hello(int head, long incarnation) implements NodeMessage { }
+
+    /**
+     * One attempt.
+     *
+     * @param id request id of the head, never used again within an incarnation
+     * @param attempt 0 for the first
+     * @param tag what the client named the request; for traces only
+     * @param dropsRepeats the class is keyed: the node answers a repeat of the id from memory
+     * @param sync the effect must be durable before the answer
+     * @param units size in units
+     * @param key piece of data; negative for none
+     * @param offset byte of the volume
+     * @param length bytes asked for, or written
+     * @param data bytes to write; empty for other operations
+     */
+    record Request(long id, int attempt, long tag, Op op, boolean dropsRepeats, boolean sync, long volume, int shard,
+            int units, long version, long key, long offset, int length, byte[] data) implements NodeMessage { }
+
+    /**
+     * The answer to one attempt.
+     *
+     * @param used 1 + units served for the volume everywhere in a finished period, in percent of the plan's rate; 0 untold
+     * @param cost units this node served for the volume through other heads since its last answer here about it
+     * @param life incarnation of the node: a write held in an earlier life and not flushed is lost
+     * @param load load report by name
+     * @param data bytes read, or for STATUS pairs of length and flags as in NBD
+     */
+    record Answer(long id, int attempt, Result result, int used, int cost, long life, Map<String, Double> load,
+            byte[] data) implements NodeMessage { }
+
+    /** The head no longer waits for an attempt; the node may drop it while it has not begun. */
+    record Cancel(long id, int attempt) implements NodeMessage { }
+
+    /** A check, answered beside the queue. */
+    record Probe(long id) implements NodeMessage { }
+
+    /** The answer to a check. */
+    record Probed(long id, long life, Map<String, Double> load) implements NodeMessage { }
+}
--- /dev/null
+++ b/codec/src/main/java/garnetreel/codec/nodelist/ListCodec.java
@@ -0,0 +1,130 @@
+package garnetreel.codec.nodelist;
+
+import garnetreel.codec.ByteQueue;
+import garnetreel.codec.Frames;
+import garnetreel.codec.ProtocolException;
+import garnetreel.codec.nodelist.ListMessage.Entry;
+import garnetreel.codec.nodelist.ListMessage.Failed;
+import garnetreel.codec.nodelist.ListMessage.Fetch;
+import garnetreel.codec.nodelist.ListMessage.Kind;
+import garnetreel.codec.nodelist.ListMessage.News;
+import garnetreel.codec.nodelist.ListMessage.Register;
+import garnetreel.codec.nodelist.ListMessage.State;
+import garnetreel.codec.nodelist.ListMessage.Subscribe;
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Bytes to {@link ListMessage}s and back. The same bytes keep the remembered list on disk. */
+public final class ListCodec {
+    private static final int SUBSCRIBE = 33;
+    private static final int FETCH = 34;
+    private static final int NEWS = 35;
+    private static final int FAILED = 36;
+    private static final int REGISTER = 37;
+    private static final State[] STATES = State.values();
+
+    private ListCodec() { }
+
+    /** The next message, or null while it has not all come. */
+    public static ListMessage next(ByteQueue in) throws ProtocolException {
+        Frames.Frame frame = Frames.next(in);
+        if (frame == null) {
+            return null;
+        }
+        ByteBuffer body = frame.body();
+        try {
+            return switch (frame.kind()) {
+                case SUBSCRIBE -> new Subscribe(body.get() != 0, body.getLong());
+                case FETCH -> new Fetch();
+                case NEWS -> news(body);
+                case FAILED -> new Failed(text(body));
+                case REGISTER -> new Register(entry(body));
+                default -> throw new ProtocolException("list message of unknown kind " + frame.kind());
+            };
+        } catch (BufferUnderflowException e) {
+            throw new ProtocolException("list message of kind " + frame.kind() + " is cut short");
+        }
+    }
+
+    private static News news(ByteBuffer body) throws ProtocolException {
+        Kind kind = body.get() == 0 ? Kind.CHANGES : Kind.ALL;
+        long since = body.getLong();
+        long version = body.getLong();
+        int count = body.getInt();
+        if (count < 0 || count > body.remaining()) {
+            throw new ProtocolException("list of " + count + " entries");
+        }
+        List<Entry> entries = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            entries.add(entry(body));
+        }
+        return new News(kind, since, version, List.copyOf(entries));
+    }
+
+    private static Entry entry(ByteBuffer body) throws ProtocolException {
+        String address = text(body);
+        String zone = text(body);
+        int shard = body.getInt();
+        int state = body.get();
+        if (state < 0 || state >= STATES.length) {
+            throw new ProtocolException("list entry in unknown state " + state);
+        }
+        return new Entry(address, zone, shard, STATES[state], body.getDouble(), body.getLong());
+    }
+
+    private static String text(ByteBuffer body) {
+        byte[] bytes = new byte[body.getShort() & 0xffff];
+        body.get(bytes);
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    /** The frame of a message. */
+    public static ByteBuffer frame(ListMessage message) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        int kind;
+        try {
+            if (message instanceof Subscribe s) {
+                kind = SUBSCRIBE;
+                out.writeByte(s.on() ? 1 : 0);
+                out.writeLong(s.version());
+            } else if (message instanceof Fetch) {
+                kind = FETCH;
+            } else if (message instanceof News n) {
+                kind = NEWS;
+                out.writeByte(n.kind().ordinal());
+                out.writeLong(n.since());
+                out.writeLong(n.version());
+                out.writeInt(n.entries().size());
+                for (Entry entry : n.entries()) {
+                    put(out, entry);
+                }
+            } else if (message instanceof Failed f) {
+                kind = FAILED;
+                out.writeUTF(f.why());
+            } else {
+                kind = REGISTER;
+                put(out, ((Register) message).entry());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return Frames.seal(Frames.begin(kind, bytes.size()).put(bytes.toByteArray()));
+    }
+
+    private static void put(DataOutputStream out, Entry entry) throws IOException {
+        out.writeUTF(entry.address());
+        out.writeUTF(entry.zone());
+        out.writeInt(entry.shard());
+        out.writeByte(entry.state().ordinal());
+        out.writeDouble(entry.weight());
+        out.writeLong(entry.startedAt());
+    }
+}
--- a/src/main/java/garnetreel/Control.java
+++ b/policy/src/main/java/garnetreel/policy/Control.java
@@ -1,4 +1,4 @@
-package garnetreel;
+package garnetreel.policy;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/test/java/garnetreel/EmbeddingTest.java
+++ b/policy/src/test/java/garnetreel/policy/EmbeddingTest.java
@@ -1,20 +1,20 @@
-package garnetreel;
+package garnetreel.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import garnetreel.Scheduler.Action;
-import garnetreel.Scheduler.Arrived;
-import garnetreel.Scheduler.Ended;
-import garnetreel.Scheduler.Event;
-import garnetreel.Scheduler.Fail;
-import garnetreel.Scheduler.ListKind;
-import garnetreel.Scheduler.NodeEntry;
-import garnetreel.Scheduler.NodeNews;
-import garnetreel.Scheduler.NodeState;
-import garnetreel.Scheduler.Outcome;
-import garnetreel.Scheduler.Refuse;
-import garnetreel.Scheduler.Send;
-import garnetreel.Scheduler.SetAlarm;
+import garnetreel.policy.Scheduler.Action;
+import garnetreel.policy.Scheduler.Arrived;
+import garnetreel.policy.Scheduler.Ended;
+import garnetreel.policy.Scheduler.Event;
+import garnetreel.policy.Scheduler.Fail;
+import garnetreel.policy.Scheduler.ListKind;
+import garnetreel.policy.Scheduler.NodeEntry;
+import garnetreel.policy.Scheduler.NodeNews;
+import garnetreel.policy.Scheduler.NodeState;
+import garnetreel.policy.Scheduler.Outcome;
+import garnetreel.policy.Scheduler.Refuse;
+import garnetreel.policy.Scheduler.Send;
+import garnetreel.policy.Scheduler.SetAlarm;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/test/java/garnetreel/MechanismTest.java
+++ b/policy/src/test/java/garnetreel/policy/MechanismTest.java
@@ -1,14 +1,14 @@
-package garnetreel;
+package garnetreel.policy;
 
-import static garnetreel.Bench.MS;
-import static garnetreel.Bench.SEC;
+import static garnetreel.policy.Bench.MS;
+import static garnetreel.policy.Bench.SEC;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import garnetreel.Scheduler.Arrived;
-import garnetreel.Scheduler.NodeState;
-import garnetreel.Scheduler.Outcome;
+import garnetreel.policy.Scheduler.Arrived;
+import garnetreel.policy.Scheduler.NodeState;
+import garnetreel.policy.Scheduler.Outcome;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/garnetreel/RulesTest.java
+++ b/policy/src/test/java/garnetreel/policy/RulesTest.java
@@ -1,17 +1,17 @@
-package garnetreel;
+package garnetreel.policy;
 
-import static garnetreel.Bench.MS;
-import static garnetreel.Bench.SEC;
+import static garnetreel.policy.Bench.MS;
+import static garnetreel.policy.Bench.SEC;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import garnetreel.Scheduler.Arrived;
-import garnetreel.Scheduler.ListKind;
-import garnetreel.Scheduler.NodeState;
-import garnetreel.Scheduler.Outcome;
-import garnetreel.Scheduler.Refuse;
-import garnetreel.Scheduler.Watch;
+import garnetreel.policy.Scheduler.Arrived;
+import garnetreel.policy.Scheduler.ListKind;
+import garnetreel.policy.Scheduler.NodeState;
+import garnetreel.policy.Scheduler.Outcome;
+import garnetreel.policy.Scheduler.Refuse;
+import garnetreel.policy.Scheduler.Watch;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
--- a/src/main/java/garnetreel/sim/Host.java
+++ b/simhost/src/main/java/garnetreel/simhost/Host.java
@@ -1,10 +1,10 @@
-package garnetreel.sim;
+package garnetreel.simhost;
 
 import com.fasterxml.jackson.core.JsonGenerator;
-import garnetreel.Control;
-import garnetreel.Scheduler;
-import garnetreel.Scheduler.Action;
-import garnetreel.Scheduler.Event;
+import garnetreel.policy.Control;
+import garnetreel.policy.Scheduler;
+import garnetreel.policy.Scheduler.Action;
+import garnetreel.policy.Scheduler.Event;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/garnetreel/sim/Json.java
+++ b/simhost/src/main/java/garnetreel/simhost/Json.java
@@ -1,4 +1,4 @@
-package garnetreel.sim;
+package garnetreel.simhost;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/garnetreel/sim/Main.java
+++ b/simhost/src/main/java/garnetreel/simhost/Main.java
@@ -1,4 +1,4 @@
-package garnetreel.sim;
+package garnetreel.simhost;
 
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
--- a/src/main/java/garnetreel/sim/WireException.java
+++ b/simhost/src/main/java/garnetreel/simhost/WireException.java
@@ -1,4 +1,4 @@
-package garnetreel.sim;
+package garnetreel.simhost;
 
 /** The input does not keep to the wire; the message names the line or the field. */
 final class WireException extends Exception {
--- a/src/test/java/garnetreel/sim/CodecTest.java
+++ b/simhost/src/test/java/garnetreel/simhost/CodecTest.java
@@ -1,30 +1,30 @@
-package garnetreel.sim;
+package garnetreel.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.core.JsonGenerator;
-import garnetreel.Scheduler.Action;
-import garnetreel.Scheduler.Arrived;
-import garnetreel.Scheduler.Cancel;
-import garnetreel.Scheduler.Check;
-import garnetreel.Scheduler.Checked;
-import garnetreel.Scheduler.CloseIdle;
-import garnetreel.Scheduler.Ended;
-import garnetreel.Scheduler.Event;
-import garnetreel.Scheduler.Fail;
-import garnetreel.Scheduler.FetchList;
-import garnetreel.Scheduler.Heard;
-import garnetreel.Scheduler.NodeNews;
-import garnetreel.Scheduler.NodeState;
-import garnetreel.Scheduler.Outcome;
-import garnetreel.Scheduler.Refuse;
-import garnetreel.Scheduler.Remark;
-import garnetreel.Scheduler.Send;
-import garnetreel.Scheduler.SetAlarm;
-import garnetreel.Scheduler.StreamBegan;
-import garnetreel.Scheduler.Watch;
+import garnetreel.policy.Scheduler.Action;
+import garnetreel.policy.Scheduler.Arrived;
+import garnetreel.policy.Scheduler.Cancel;
+import garnetreel.policy.Scheduler.Check;
+import garnetreel.policy.Scheduler.Checked;
+import garnetreel.policy.Scheduler.CloseIdle;
+import garnetreel.policy.Scheduler.Ended;
+import garnetreel.policy.Scheduler.Event;
+import garnetreel.policy.Scheduler.Fail;
+import garnetreel.policy.Scheduler.FetchList;
+import garnetreel.policy.Scheduler.Heard;
+import garnetreel.policy.Scheduler.NodeNews;
+import garnetreel.policy.Scheduler.NodeState;
+import garnetreel.policy.Scheduler.Outcome;
+import garnetreel.policy.Scheduler.Refuse;
+import garnetreel.policy.Scheduler.Remark;
+import garnetreel.policy.Scheduler.Send;
+import garnetreel.policy.Scheduler.SetAlarm;
+import garnetreel.policy.Scheduler.StreamBegan;
+import garnetreel.policy.Scheduler.Watch;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -90,7 +90,7 @@
     private static int exit(String input, String... arguments) throws Exception {
         java.util.List<String> command = new java.util.ArrayList<>(java.util.List.of(
                 System.getProperty("java.home") + "/bin/java", "-cp", System.getProperty("java.class.path"),
-                "garnetreel.sim.Main"));
+                "garnetreel.simhost.Main"));
         command.addAll(java.util.List.of(arguments));
         Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
         try (java.io.OutputStream to = process.getOutputStream()) {
--- a/src/test/java/garnetreel/sim/WireTest.java
+++ b/simhost/src/test/java/garnetreel/simhost/WireTest.java
@@ -1,4 +1,4 @@
-package garnetreel.sim;
+package garnetreel.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
