--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/CheckConfigCommand.java
@@ -0,0 +1,31 @@
+package garnetreel.cli;
+
+import garnetreel.cli.config.Settings;
+import garnetreel.cli.config.SettingsException;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Checks a settings file without starting anything. */
+@Command(name = "check-config", mixinStandardHelpOptions = true,
+        description = "Checks the form and the meaning of a settings file.")
+final class CheckConfigCommand implements Callable<Integer> {
+    @Spec
+    CommandSpec spec;
+
+    @Parameters(paramLabel = "FILE", description = "The settings.")
+    Path file;
+
+    @Override
+    public Integer call() throws SettingsException, IOException {
+        Settings settings = Settings.read(file);
+        spec.commandLine().getOut().println(file + ": fine: " + settings.heads() + " heads, "
+                + settings.volumes().size() + " volumes, " + settings.classes().size() + " classes, "
+                + settings.plans().size() + " plans, " + settings.nodes().size() + " nodes");
+        return Main.FINE;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/Main.java
@@ -0,0 +1,56 @@
+package garnetreel.cli;
+
+import garnetreel.cli.config.SettingsException;
+import java.io.IOException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command line. Exit codes: 0 fine, 1 failed or a rule broken, 2 wrong usage or settings. */
+@Command(name = "garnetreel", mixinStandardHelpOptions = true, version = "garnetreel 0.2.0",
+        description = "A storage gateway that schedules a host's reads and writes over storage nodes.",
+        subcommands = {DevCommand.class, ServeCommand.class, NodeCommand.class, NodeListCommand.class,
+            CheckConfigCommand.class, CommandLine.HelpCommand.class})
+public final class Main {
+    static final int FINE = 0;
+    static final int FAILED = 1;
+    static final int USAGE = 2;
+
+    @Option(names = "--log", description = "Form of log lines on standard error: ${COMPLETION-CANDIDATES}.",
+            defaultValue = "plain", scope = CommandLine.ScopeType.INHERIT)
+    Logging.Format format;
+
+    @Option(names = "--log-level", description = "debug, info, warn or error.", defaultValue = "info",
+            scope = CommandLine.ScopeType.INHERIT)
+    String level;
+
+    private Main() { }
+
+    public static void main(String[] arguments) {
+        System.exit(run(arguments));
+    }
+
+    /** Runs one command and gives its exit code. */
+    static int run(String... arguments) {
+        System.setProperty("org.jboss.logging.provider", "slf4j");
+        Main main = new Main();
+        CommandLine line = new CommandLine(main);
+        line.setExecutionStrategy(parsed -> {
+            Logging.configure(main.format, main.level);
+            return new CommandLine.RunLast().execute(parsed);
+        });
+        line.setExecutionExceptionHandler((e, command, parsed) -> {
+            if (e instanceof SettingsException settings) {
+                settings.problems().forEach(command.getErr()::println);
+                return USAGE;
+            }
+            if (e instanceof IOException || e instanceof IllegalStateException) {
+                command.getErr().println("garnetreel: " + e.getMessage());
+                return FAILED;
+            }
+            e.printStackTrace(command.getErr());
+            return FAILED;
+        });
+        return line.execute(arguments);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/NodeCommand.java
@@ -0,0 +1,66 @@
+package garnetreel.cli;
+
+import garnetreel.cli.config.Settings;
+import garnetreel.cli.config.SettingsException;
+import garnetreel.net.Driver;
+import garnetreel.standin.node.Disk;
+import garnetreel.standin.node.NodeMachine;
+import garnetreel.standin.node.NodeSettings;
+import garnetreel.standin.trace.Trace;
+import garnetreel.standin.trace.TraceFile;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** One stand-in storage node. */
+@Command(name = "node", mixinStandardHelpOptions = true,
+        description = "Runs one stand-in storage node; its data is lost at its end.")
+final class NodeCommand implements Callable<Integer> {
+    @Spec
+    CommandSpec spec;
+
+    @Parameters(index = "0", paramLabel = "FILE", description = "The settings of the service.")
+    Path file;
+
+    @Parameters(index = "1", paramLabel = "NODE", description = "Name of the node.")
+    String name;
+
+    @Option(names = "--trace", paramLabel = "FILE", description = "Writes what passes over its sockets.")
+    Path traceFile;
+
+    @Override
+    public Integer call() throws SettingsException, IOException {
+        Settings settings = Settings.read(file);
+        NodeSettings node = settings.nodes().get(name);
+        if (node == null) {
+            throw new SettingsException(List.of(settings.at("/node") + "has no block node \"" + name + "\""));
+        }
+        Trace trace = traceFile == null ? Trace.NONE : new TraceFile(traceFile);
+        Process process = new Process(1);
+        long life = process.clock.micros();
+        Driver driver = process.run(name, new NodeMachine(node, new Disk(), trace, life, life));
+        spec.commandLine().getOut().println("ready node://" + Process.bound(driver, "node"));
+        spec.commandLine().getOut().flush();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> endTrace(process, trace), "end"));
+        return Process.untilStopped(driver);
+    }
+
+    /** Ends the machines, so that the last line of the trace is whole. */
+    static void endTrace(Process process, Trace trace) {
+        process.close();
+        if (trace instanceof TraceFile whole) {
+            try {
+                whole.close();
+            } catch (IOException e) {
+                System.err.println("garnetreel: the trace could not be closed: " + e.getMessage());
+            }
+        }
+        Runtime.getRuntime().halt(Main.FINE);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/Process.java
@@ -0,0 +1,122 @@
+package garnetreel.cli;
+
+import garnetreel.core.Head;
+import garnetreel.core.HeadSettings;
+import garnetreel.core.io.Machine;
+import garnetreel.core.link.ListLink;
+import garnetreel.net.BackgroundKeeper;
+import garnetreel.net.Clock;
+import garnetreel.net.Driver;
+import garnetreel.net.Workers;
+import garnetreel.policy.Control;
+import garnetreel.store.StateDirectory;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.xnio.XnioWorker;
+
+/** What runs in this process: one clock, one worker, and the machines on them. */
+final class Process implements AutoCloseable {
+    private static final int BIND_SECONDS = 10;
+
+    final Clock clock = Clock.system();
+    private final XnioWorker worker;
+    private final Deque<AutoCloseable> running = new ArrayDeque<>();
+
+    Process(int ioThreads) throws IOException {
+        worker = Workers.create("garnetreel", ioThreads);
+    }
+
+    /** Runs a machine that keeps nothing. */
+    Driver run(String name, Machine machine) {
+        return run(name, machine, (state, data) -> { });
+    }
+
+    Driver run(String name, Machine machine, Driver.Keeper keeper) {
+        Driver driver = new Driver(name, machine, worker, clock, keeper).start();
+        running.push(driver);
+        return driver;
+    }
+
+    /** Runs a head; it remembers the node list in {@code state}, or not at all where that is null. */
+    Driver head(HeadSettings settings, Path state) throws IOException {
+        byte[] remembered = null;
+        Driver.Keeper keeper = (name, data) -> { };
+        if (state != null) {
+            StateDirectory directory = new StateDirectory(state);
+            remembered = directory.read(ListLink.REMEMBERED).orElse(null);
+            BackgroundKeeper background = new BackgroundKeeper(directory);
+            running.push(background);
+            keeper = background;
+        }
+        Head head = new Head(settings, new Control(settings.scheduling(), settings.incarnation()), remembered);
+        return run("head-" + settings.head(), head, keeper);
+    }
+
+    /** Ends one machine at once. */
+    void end(Driver driver) {
+        running.remove(driver);
+        driver.close();
+    }
+
+    /** The address that a listener is bound to. */
+    static String bound(Driver driver, String listener) throws IOException {
+        try {
+            return driver.bound(listener).get(BIND_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e.getCause());
+        } catch (TimeoutException e) {
+            throw new IOException("no listener within " + BIND_SECONDS + " s", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    /**
+     * Makes an end of this process by signal a drain of the head: nothing new, everything taken answered, and an exit
+     * with 0 within the longest deadline.
+     */
+    void drainAtEnd(Driver head, long longestDeadlineMicros) {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            head.tell(new Head.Drain());
+            boolean clean = true;
+            try {
+                head.stopped().get(longestDeadlineMicros, TimeUnit.MICROSECONDS);
+            } catch (InterruptedException | ExecutionException | TimeoutException e) {
+                clean = false;
+            }
+            close();
+            Runtime.getRuntime().halt(clean ? Main.FINE : Main.FAILED);
+        }, "drain"));
+    }
+
+    /** Waits until a machine ends by itself. */
+    static int untilStopped(Driver driver) {
+        try {
+            driver.stopped().get();
+            return Main.FINE;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Main.FAILED;
+        } catch (ExecutionException e) {
+            return Main.FAILED;
+        }
+    }
+
+    @Override
+    public void close() {
+        while (!running.isEmpty()) {
+            try {
+                running.pop().close();
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        }
+        worker.shutdownNow();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/ServeCommand.java
@@ -0,0 +1,55 @@
+package garnetreel.cli;
+
+import garnetreel.cli.config.Settings;
+import garnetreel.cli.config.SettingsException;
+import garnetreel.core.Head;
+import garnetreel.core.HeadSettings;
+import garnetreel.core.Volume;
+import garnetreel.net.Driver;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** One head, as in service. */
+@Command(name = "serve", mixinStandardHelpOptions = true, description = "Serves one head of a service.")
+final class ServeCommand implements Callable<Integer> {
+    private static final int IO_THREADS = 2;
+
+    @Spec
+    CommandSpec spec;
+
+    @Parameters(paramLabel = "FILE", description = "The settings of the service.")
+    Path file;
+
+    @Option(names = "--head", paramLabel = "N", required = true, description = "Number of this head.")
+    int head;
+
+    @Override
+    public Integer call() throws SettingsException, IOException {
+        Settings settings = Settings.read(file);
+        String listen = settings.listen(head);
+        if (listen == null) {
+            throw new SettingsException(List.of(settings.at("") + "has no block head \"" + head + "\""));
+        }
+        if (settings.list().isEmpty()) {
+            throw new SettingsException(List.of(settings.at("/service") + "lacks \"list\", where the node list is"));
+        }
+        Process process = new Process(IO_THREADS);
+        HeadSettings told = settings.head(head, process.clock.micros(), listen, settings.list());
+        String state = settings.state(head);
+        Driver driver = process.head(told, state.isEmpty() ? null : Path.of(state));
+        String address = Process.bound(driver, Head.NBD);
+        process.drainAtEnd(driver, settings.longestDeadline());
+        for (Volume volume : told.volumes()) {
+            spec.commandLine().getOut().println("ready nbd://" + address + "/" + volume.name());
+        }
+        spec.commandLine().getOut().flush();
+        return Process.untilStopped(driver);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/config/Settings.java
@@ -0,0 +1,324 @@
+package garnetreel.cli.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import garnetreel.codec.Frames;
+import garnetreel.core.HeadSettings;
+import garnetreel.core.HeadSettings.Bounds;
+import garnetreel.core.HeadSettings.Links;
+import garnetreel.core.Layout;
+import garnetreel.core.Volume;
+import garnetreel.policy.Scheduler;
+import garnetreel.policy.Scheduler.Effect;
+import garnetreel.policy.Scheduler.Group;
+import garnetreel.policy.Scheduler.Plan;
+import garnetreel.policy.Scheduler.RequestClass;
+import garnetreel.policy.Scheduler.Rules;
+import garnetreel.standin.node.NodeSettings;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The meaning of a settings file: checked as a whole, then handed out as what each part of the program is told. */
+public final class Settings {
+    /** Largest data of one part that fits into a frame of the node protocol. */
+    private static final long PART_MOST = Frames.MOST - 4096;
+    /** Keys to the module stay under 2^53: 36 bits are left for the block within a volume. */
+    private static final long BLOCKS_MOST = 1L << 36;
+    private static final int PAGE = 4096;
+
+    private final HclFile file;
+    private final JsonNode root;
+    private final List<String> problems = new ArrayList<>();
+    private final Map<String, RequestClass> classes = new LinkedHashMap<>();
+    private final Map<String, Plan> plans = new LinkedHashMap<>();
+    private final Map<String, Volume> volumes = new LinkedHashMap<>();
+    private final Map<Integer, String> listens = new TreeMap<>();
+    private final Map<String, NodeSettings> nodes = new LinkedHashMap<>();
+    private final Rules rules;
+    private final Bounds bounds;
+    private final Links links;
+    private final int heads;
+    private final long margin;
+
+    private Settings(HclFile file) {
+        this.file = file;
+        this.root = file.root();
+        heads = (int) number("/service/heads", 1);
+        margin = micros("/service/margin", "10ms");
+        rules = new Rules(micros("/rules/answer_slack", "8ms"), micros("/rules/ask_every", "10s"),
+                number("/rules/free_extras", 0), number("/rules/extra_ratio", 0), micros("/rules/extra_window", "0s"),
+                number("/rules/cold_share", 1), micros("/rules/warm_within", "0s"),
+                micros("/rules/stop_sending_within", "1s"), number("/rules/fall_multiple", 0),
+                micros("/rules/fall", "0s"), micros("/rules/key_quiet", "0s"));
+        bounds = new Bounds((int) number("/bounds/connections", 1024), (int) number("/bounds/connection_requests", 256),
+                (int) number("/bounds/head_requests", 16_384), bytes("/bounds/connection_bytes", "64MiB"),
+                bytes("/bounds/head_bytes", "512MiB"), (int) bytes("/bounds/payload", "32MiB"),
+                (int) bytes("/bounds/unit", "64KiB"), (int) bytes("/bounds/key", "64KiB"),
+                micros("/bounds/handshake", "30s"));
+        links = new Links((int) number("/links/per_node", 4), (int) number("/links/streams", 32),
+                micros("/links/idle", "15s"), micros("/links/connect_timeout", "250ms"),
+                micros("/links/list_call", "2s"), micros("/links/list_silence", "5s"));
+    }
+
+    /** Reads a file and checks its form and its meaning. */
+    public static Settings read(Path path) throws SettingsException, IOException {
+        return of(HclFile.read(path));
+    }
+
+    /** Checks the meaning of a file whose form was checked. */
+    public static Settings of(HclFile file) throws SettingsException {
+        Settings settings = new Settings(file);
+        settings.load();
+        if (!settings.problems.isEmpty()) {
+            throw new SettingsException(settings.problems);
+        }
+        return settings;
+    }
+
+    private void load() {
+        each("class", (name, path) -> classes.put(name, requestClass(name, path)));
+        each("plan", (name, path) -> plans.put(name, plan(name, path)));
+        each("volume", (name, path) -> volumes.put(name, volume(name, path)));
+        each("head", (name, path) -> {
+            int number = Integer.parseInt(name);
+            check(number < heads, path, "has number " + number + ", and the service has " + heads + " heads");
+            listens.put(number, text(path + "/listen", "127.0.0.1:0"));
+        });
+        each("node", (name, path) -> nodes.put(name, node(name, path)));
+        long partBytes = (long) mostUnits() * bounds.unitBytes();
+        check(partBytes <= PART_MOST, "/bounds/unit", "times module most_units is " + partBytes + " bytes; "
+                + PART_MOST + " at most, the largest part of a request");
+        check(bounds.payload() >= PAGE && bounds.payload() <= 64 << 20, "/bounds/payload", "is "
+                + bounds.payload() + " bytes; 4KiB to 64MiB are expected");
+        check(bounds.keyBytes() >= 512, "/bounds/key", "is " + bounds.keyBytes() + " bytes; 512B at least");
+    }
+
+    private interface Item {
+        void load(String name, String path);
+    }
+
+    private void each(String kind, Item item) {
+        root.path(kind).fieldNames().forEachRemaining(name -> item.load(name, "/" + kind + "/" + escaped(name)));
+    }
+
+    private static String escaped(String name) {
+        return name.replace("~", "~0").replace("/", "~1");
+    }
+
+    private RequestClass requestClass(String name, String path) {
+        long aim = micros(path + "/aim", "1s");
+        long deadline = micros(path + "/deadline", "1s");
+        Effect effect = Effect.valueOf(text(path + "/effect", "once").toUpperCase(Locale.ROOT));
+        Group group = Group.valueOf(text(path + "/group", "cell").toUpperCase(Locale.ROOT));
+        check(aim > 0 && aim <= deadline, path + "/aim", "is " + aim + " us; more than 0 and at most the deadline of "
+                + deadline + " us are expected");
+        check(deadline > 2 * margin, path + "/deadline", "is " + deadline
+                + " us; more than twice the margin of " + margin + " us is expected");
+        check(effect != Effect.KEYED || has(path + "/window"), path, "is keyed and lacks \"window\"");
+        return new RequestClass(name, aim, number(path + "/aim_stretch", 0), deadline, effect, group,
+                number(path + "/late_share", 0), false, micros(path + "/window", "0s"), number(path + "/worth", 1),
+                flag(path + "/in_order", false), flag(path + "/writes", false));
+    }
+
+    private Plan plan(String name, String path) {
+        double limit = number(path + "/limit", 0);
+        double burst = number(path + "/burst", 0);
+        double reserve = number(path + "/reserve", 0);
+        check(limit == 0 || burst >= mostUnits(), path + "/burst", "is " + burst + " units; a plan with a limit holds "
+                + "at least the largest request, " + mostUnits() + " units");
+        check(limit == 0 || reserve <= limit, path + "/reserve", "is " + reserve + "; at most the limit of " + limit
+                + " is expected");
+        return new Plan(name, limit, burst, number(path + "/slack", 0), number(path + "/worth_factor", 1),
+                number(path + "/rate", 1), reserve, number(path + "/weight", 1));
+    }
+
+    private Volume volume(String name, String path) {
+        long id = (long) number(path + "/id", 0);
+        long size = bytes(path + "/size", "0B");
+        long extent = bytes(path + "/extent", "1MiB");
+        check(size >= PAGE && size % PAGE == 0, path + "/size", "is " + size
+                + " bytes; a multiple of 4KiB is expected");
+        check(size / Math.max(1, bounds.keyBytes()) < BLOCKS_MOST, path + "/size", "is " + size
+                + " bytes; more pieces of data than keys can name");
+        check(extent >= PAGE && extent % PAGE == 0 && extent <= 1 << 30, path + "/extent", "is " + extent
+                + " bytes; a multiple of 4KiB up to 1GiB is expected");
+        volumes.values().forEach(v -> check(v.id() != id, path + "/id", "is " + id + ", which volume " + v.name()
+                + " has"));
+        String plan = text(path + "/plan", "");
+        check(plans.containsKey(plan), path + "/plan", "names the plan \"" + plan + "\", and there is none");
+        List<Integer> shards = new ArrayList<>();
+        root.at(path + "/shards").forEach(s -> shards.add(s.asInt()));
+        String flush = known(path + "/flush_class");
+        RequestClass flushClass = classes.get(flush);
+        check(flushClass == null || flushClass.effect() == Effect.REPEATABLE, path + "/flush_class", "names \""
+                + flush + "\", whose effect is not repeatable; a flush may run twice");
+        int hosts = (int) number(path + "/hosts", 0);
+        check(hosts <= heads, path + "/hosts", "is " + hosts + ", and the service has " + heads + " heads");
+        return new Volume(id, name, text(path + "/description", ""), size, flag(path + "/read_only", false), plan,
+                known(path + "/read_class"), known(path + "/write_class"), flush, hosts,
+                Layout.fixed(Math.max(1, extent), shards.isEmpty() ? List.of(0) : shards));
+    }
+
+    private String known(String path) {
+        String name = text(path, "");
+        check(classes.containsKey(name), path, "names the class \"" + name + "\", and there is none");
+        return name;
+    }
+
+    private NodeSettings node(String name, String path) {
+        return new NodeSettings(name, text(path + "/listen", "127.0.0.1:0"), text("/service/list", ""),
+                text(path + "/zone", "zone-a"), (int) number(path + "/shard", 0), (int) number(path + "/cores", 4),
+                (int) number(path + "/queue", 64), (int) number(path + "/connections", 256),
+                micros(path + "/base_work", "0s"), micros(path + "/unit_work", "0s"),
+                number(path + "/power", 1e9), flag(path + "/warm", true),
+                number(path + "/cold_share", rules.coldShare()), has(path + "/warm_within")
+                ? micros(path + "/warm_within", "0s") : rules.warmWithin(), rules.fallMultiple(), rules.fall(),
+                number(path + "/defer_share", 0), micros(path + "/flush_every", "1s"),
+                micros(path + "/pause_every", "0s"), micros(path + "/pause_most", "0s"),
+                micros(path + "/repeat_window", "5s"));
+    }
+
+    private void check(boolean holds, String path, String problem) {
+        if (!holds) {
+            problems.add(file.at(path) + problem);
+        }
+    }
+
+    // ---------------------------------------------------------------- values
+
+    private boolean has(String path) {
+        return !root.at(path).isMissingNode();
+    }
+
+    public double number(String path, double otherwise) {
+        return root.at(path).asDouble(otherwise);
+    }
+
+    public String text(String path, String otherwise) {
+        return root.at(path).asText(otherwise).isEmpty() ? otherwise : root.at(path).asText(otherwise);
+    }
+
+    public boolean flag(String path, boolean otherwise) {
+        return root.at(path).asBoolean(otherwise);
+    }
+
+    public long micros(String path, String otherwise) {
+        return Quantities.micros(text(path, otherwise));
+    }
+
+    public long bytes(String path, String otherwise) {
+        try {
+            return Quantities.bytes(text(path, otherwise));
+        } catch (ArithmeticException e) {
+            problems.add(file.at(path) + "is " + text(path, otherwise) + ", more than can be counted");
+            return 0;
+        }
+    }
+
+    private int mostUnits() {
+        return (int) number("/module/most_units", 8);
+    }
+
+    public JsonNode root() {
+        return root;
+    }
+
+    /** Where a path stands in the file, for problems found by whoever reads more of it. */
+    public String at(String path) {
+        return file.at(path);
+    }
+
+    // ---------------------------------------------------------------- what the parts are told
+
+    public int heads() {
+        return heads;
+    }
+
+    public Rules rules() {
+        return rules;
+    }
+
+    public long margin() {
+        return margin;
+    }
+
+    public Bounds bounds() {
+        return bounds;
+    }
+
+    public Map<String, Volume> volumes() {
+        return volumes;
+    }
+
+    public Map<String, RequestClass> classes() {
+        return classes;
+    }
+
+    public Map<String, Plan> plans() {
+        return plans;
+    }
+
+    public Map<String, NodeSettings> nodes() {
+        return nodes;
+    }
+
+    /** Longest deadline of a class. */
+    public long longestDeadline() {
+        return classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
+    }
+
+    /** What the module of a head is told. */
+    public Scheduler.Settings scheduling(int head) {
+        return new Scheduler.Settings(head, heads, flag("/service/subscribe", true), List.copyOf(classes.values()),
+                List.copyOf(plans.values()), rules, number("/module/young_limit", 0),
+                number("/module/mean_units", 1), mostUnits(), number("/module/share_worth", 1),
+                number("/module/idle_worth", 1), flag("/module/tells_others", true), 0,
+                (int) number("/module/try_limit", 3), false, flag("/module/cancels", true),
+                flag("/module/checks", true), false, micros("/module/stay_away", "2s"), links.connectTimeout(),
+                micros("/module/tick", "1ms"));
+    }
+
+    /** What a head is told. */
+    public HeadSettings head(int number, long incarnation, String listen, String list) {
+        return new HeadSettings(number, incarnation, listen, list, scheduling(number),
+                volumes.values().stream().filter(v -> exported(v.name(), number)).toList(), margin, bounds, links);
+    }
+
+    private boolean exported(String volume, int head) {
+        JsonNode only = root.at("/volume/" + escaped(volume) + "/heads");
+        for (JsonNode one : only) {
+            if (one.asInt() == head) {
+                return true;
+            }
+        }
+        return only.isMissingNode();
+    }
+
+    /** Listening address of a head; null when the file names no such head. */
+    public String listen(int head) {
+        return listens.get(head);
+    }
+
+    /** Address of the node list; empty when the file names none. */
+    public String list() {
+        return text("/service/list", "");
+    }
+
+    /** State directory of a head; empty for none. */
+    public String state(int head) {
+        return text("/head/" + head + "/state", "");
+    }
+
+    /** Volumes by number, for whoever reads traces. */
+    public Map<Long, Volume> volumesById() {
+        Map<Long, Volume> byId = new HashMap<>();
+        volumes.values().forEach(v -> byId.put(v.id(), v));
+        return byId;
+    }
+}
--- a/codec/src/main/java/garnetreel/codec/nbd/NbdWriter.java
+++ b/codec/src/main/java/garnetreel/codec/nbd/NbdWriter.java
@@ -81,6 +81,11 @@
                 .putShort((short) (done ? Nbd.CHUNK_DONE : 0)).putShort((short) type).putLong(cookie).putInt(length);
     }
 
+    /** Header of a data chunk; the data is written behind it. */
+    public static ByteBuffer chunkOfData(boolean done, long cookie, long offset, int length) {
+        return chunk(done, Nbd.CHUNK_DATA, cookie, 8).putInt(CHUNK_HEADER - 4, 8 + length).putLong(offset).flip();
+    }
+
     /** The chunk that ends a reply without more to say. */
     public static ByteBuffer done(long cookie) {
         return chunk(true, Nbd.CHUNK_NONE, cookie, 0).flip();
--- a/codec/src/main/java/garnetreel/codec/node/NodeCodec.java
+++ b/codec/src/main/java/garnetreel/codec/node/NodeCodec.java
@@ -26,7 +26,7 @@
     private static final int PROBE = 5;
     private static final int PROBED = 6;
     /** Fixed fields of a request and of an answer, in bytes. */
-    private static final int REQUEST_FIXED = 8 + 2 + 8 + 1 + 1 + 8 + 4 + 4 + 8 + 8 + 8 + 4;
+    private static final int REQUEST_FIXED = 8 + 2 + 8 + 1 + 1 + 8 + 8 + 4 + 4 + 8 + 8 + 8 + 4;
     private static final int ANSWER_FIXED = 8 + 2 + 1 + 4 + 4 + 8;
     /** A load report names at most so many values, as WIRE's feedback does, and names are short. */
     private static final int LOAD_MOST = 4;
@@ -70,14 +70,14 @@
         Op op = of(OPS, body.get());
         int flags = body.get();
         Request request = new Request(id, attempt, tag, op, (flags & 1) != 0, (flags & 2) != 0, body.getLong(),
-                body.getInt(), body.getInt(), body.getLong(), body.getLong(), body.getLong(), body.getInt(),
+                body.getLong(), body.getInt(), body.getInt(), body.getLong(), body.getLong(), body.getLong(), body.getInt(),
                 rest(body));
         if (request.length() < 0 || request.offset() < 0 || request.units() < 0) {
             throw new ProtocolException("node request with a negative size");
         }
-        if (op == Op.WRITE ? request.data().length != request.length() : request.data().length > 0) {
+        if (op == Op.WRITE ? request.data().remaining() != request.length() : request.data().hasRemaining()) {
             throw new ProtocolException("node request says " + request.length() + " bytes and brings "
-                    + request.data().length);
+                    + request.data().remaining());
         }
         return request;
     }
@@ -89,10 +89,10 @@
         return values[code];
     }
 
-    private static byte[] rest(ByteBuffer body) {
-        byte[] bytes = new byte[body.remaining()];
-        body.get(bytes);
-        return bytes;
+    private static ByteBuffer rest(ByteBuffer body) {
+        ByteBuffer rest = body.slice();
+        body.position(body.limit());
+        return rest;
     }
 
     private static Map<String, Double> load(ByteBuffer body) throws ProtocolException {
@@ -113,17 +113,17 @@
     public static ByteBuffer frame(NodeMessage message) {
         ByteBuffer frame;
         if (message instanceof Request r) {
-            frame = Frames.begin(REQUEST, REQUEST_FIXED + r.data().length);
+            frame = Frames.begin(REQUEST, REQUEST_FIXED + r.data().remaining());
             frame.putLong(r.id()).putShort((short) r.attempt()).putLong(r.tag()).put((byte) r.op().ordinal())
-                    .put((byte) ((r.dropsRepeats() ? 1 : 0) | (r.sync() ? 2 : 0))).putLong(r.volume())
+                    .put((byte) ((r.dropsRepeats() ? 1 : 0) | (r.sync() ? 2 : 0))).putLong(r.ttl()).putLong(r.volume())
                     .putInt(r.shard()).putInt(r.units()).putLong(r.version()).putLong(r.key()).putLong(r.offset())
-                    .putInt(r.length()).put(r.data());
+                    .putInt(r.length()).put(r.data().duplicate());
         } else if (message instanceof Answer a) {
-            frame = Frames.begin(ANSWER, ANSWER_FIXED + size(a.load()) + a.data().length);
+            frame = Frames.begin(ANSWER, ANSWER_FIXED + size(a.load()) + a.data().remaining());
             frame.putLong(a.id()).putShort((short) a.attempt()).put((byte) a.result().ordinal()).putInt(a.used())
                     .putInt(a.cost()).putLong(a.life());
             put(frame, a.load());
-            frame.put(a.data());
+            frame.put(a.data().duplicate());
         } else if (message instanceof Hello h) {
             frame = Frames.begin(HELLO, 12).putInt(h.head()).putLong(h.incarnation());
         } else if (message instanceof Cancel c) {
--- a/codec/src/main/java/garnetreel/codec/node/NodeMessage.java
+++ b/codec/src/main/java/garnetreel/codec/node/NodeMessage.java
@@ -1,5 +1,6 @@
 package garnetreel.codec.node;
 
+import java.nio.ByteBuffer;
 import java.util.Map;
 
 /**
@@ -38,6 +39,11 @@
      */
     record Hello(int head, long incarnation) implements NodeMessage { }
 
+    /** No data; read-only use of a buffer's content never moves its position. */
+    static ByteBuffer none() {
+        return ByteBuffer.allocate(0);
+    }
+
     /**
      * One attempt.
      *
@@ -46,14 +52,16 @@
      * @param tag what the client named the request; for traces only
      * @param dropsRepeats the class is keyed: the node answers a repeat of the id from memory
      * @param sync the effect must be durable before the answer
+     * @param ttl microseconds from its receipt after which the node must not begin it: whoever asked has given up by
+     *     then, and may already have written something newer
      * @param units size in units
      * @param key piece of data; negative for none
      * @param offset byte of the volume
      * @param length bytes asked for, or written
      * @param data bytes to write; empty for other operations
      */
-    record Request(long id, int attempt, long tag, Op op, boolean dropsRepeats, boolean sync, long volume, int shard,
-            int units, long version, long key, long offset, int length, byte[] data) implements NodeMessage { }
+    record Request(long id, int attempt, long tag, Op op, boolean dropsRepeats, boolean sync, long ttl, long volume,
+            int shard, int units, long version, long key, long offset, int length, ByteBuffer data) implements NodeMessage { }
 
     /**
      * The answer to one attempt.
@@ -65,7 +73,7 @@
      * @param data bytes read, or for STATUS pairs of length and flags as in NBD
      */
     record Answer(long id, int attempt, Result result, int used, int cost, long life, Map<String, Double> load,
-            byte[] data) implements NodeMessage { }
+            ByteBuffer data) implements NodeMessage { }
 
     /** The head no longer waits for an attempt; the node may drop it while it has not begun. */
     record Cancel(long id, int attempt) implements NodeMessage { }
--- a/codec/src/main/java/garnetreel/codec/nodelist/ListCodec.java
+++ b/codec/src/main/java/garnetreel/codec/nodelist/ListCodec.java
@@ -41,8 +41,8 @@
         ByteBuffer body = frame.body();
         try {
             return switch (frame.kind()) {
-                case SUBSCRIBE -> new Subscribe(body.get() != 0, body.getLong());
-                case FETCH -> new Fetch();
+                case SUBSCRIBE -> new Subscribe(body.getInt(), body.get() != 0, body.getLong());
+                case FETCH -> new Fetch(body.getInt());
                 case NEWS -> news(body);
                 case FAILED -> new Failed(text(body));
                 case REGISTER -> new Register(entry(body));
@@ -93,10 +93,12 @@
         try {
             if (message instanceof Subscribe s) {
                 kind = SUBSCRIBE;
+                out.writeInt(s.head());
                 out.writeByte(s.on() ? 1 : 0);
                 out.writeLong(s.version());
-            } else if (message instanceof Fetch) {
+            } else if (message instanceof Fetch f) {
                 kind = FETCH;
+                out.writeInt(f.head());
             } else if (message instanceof News n) {
                 kind = NEWS;
                 out.writeByte(n.kind().ordinal());
--- a/codec/src/main/java/garnetreel/codec/nodelist/ListMessage.java
+++ b/codec/src/main/java/garnetreel/codec/nodelist/ListMessage.java
@@ -20,10 +20,10 @@
     record Entry(String address, String zone, int shard, State state, double weight, long startedAt) { }
 
     /** A head asks for changes after a version from now on, or ends that; version 0 asks for everything. */
-    record Subscribe(boolean on, long version) implements ListMessage { }
+    record Subscribe(int head, boolean on, long version) implements ListMessage { }
 
     /** A head asks for the complete list once. */
-    record Fetch() implements ListMessage { }
+    record Fetch(int head) implements ListMessage { }
 
     /** News: changes on top of {@code since}, or everything; it brings the receiver to {@code version}. */
     record News(Kind kind, long since, long version, List<Entry> entries) implements ListMessage { }
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/Head.java
@@ -0,0 +1,207 @@
+package garnetreel.core;
+
+import garnetreel.codec.node.NodeMessage;
+import garnetreel.core.desk.Desk;
+import garnetreel.core.front.NbdFront;
+import garnetreel.core.io.Machine;
+import garnetreel.core.io.NetAction;
+import garnetreel.core.io.NetAction.Level;
+import garnetreel.core.io.NetEvent;
+import garnetreel.core.link.Attempt;
+import garnetreel.core.link.ConnectionNumbers;
+import garnetreel.core.link.ListLink;
+import garnetreel.core.link.NodeLinks;
+import garnetreel.policy.Scheduler;
+import garnetreel.policy.Scheduler.Action;
+import garnetreel.policy.Scheduler.Alarm;
+import garnetreel.policy.Scheduler.Cancel;
+import garnetreel.policy.Scheduler.Check;
+import garnetreel.policy.Scheduler.Checked;
+import garnetreel.policy.Scheduler.CloseIdle;
+import garnetreel.policy.Scheduler.Event;
+import garnetreel.policy.Scheduler.Fail;
+import garnetreel.policy.Scheduler.FetchList;
+import garnetreel.policy.Scheduler.Outcome;
+import garnetreel.policy.Scheduler.Refuse;
+import garnetreel.policy.Scheduler.Remark;
+import garnetreel.policy.Scheduler.Send;
+import garnetreel.policy.Scheduler.SetAlarm;
+import garnetreel.policy.Scheduler.Watch;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/**
+ * A whole head without I/O: fronts, desk, links and the decision module, tied together. Everything that happened since
+ * the last turn goes into one turn of the module.
+ */
+public final class Head implements Machine, NodeLinks.Listener {
+    /** The listener of NBD clients. */
+    public static final String NBD = "nbd";
+
+    /** Takes no new work, answers what was taken, then says Stopped. */
+    public record Drain() implements NetEvent.Order { }
+
+    private record Due(long at, long order, String name) { }
+
+    private final HeadSettings settings;
+    private final Scheduler scheduler;
+    private final byte[] rememberedList;
+    private final NodeLinks nodes;
+    private final ListLink list;
+    private final Desk desk;
+    private final NbdFront nbd;
+    private final PriorityQueue<Due> alarms = new PriorityQueue<>(
+            Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private long alarmCount;
+    private boolean begun;
+    private boolean draining;
+    private boolean stopped;
+    private long now;
+
+    /**
+     * @param scheduler the decision module, new
+     * @param rememberedList what {@link NetAction.Persist} kept last under {@link ListLink#REMEMBERED}; null for none
+     */
+    public Head(HeadSettings settings, Scheduler scheduler, byte[] rememberedList) {
+        this.settings = settings;
+        this.scheduler = scheduler;
+        this.rememberedList = rememberedList;
+        ConnectionNumbers numbers = new ConnectionNumbers();
+        nodes = new NodeLinks(settings, numbers);
+        desk = new Desk(settings, nodes);
+        list = new ListLink(settings, numbers, desk::tell);
+        nbd = new NbdFront(settings, desk);
+        nodes.listener(this);
+    }
+
+    @Override
+    public void turn(long time, List<NetEvent> events, List<NetAction> actions) {
+        now = Math.max(now, time);
+        nodes.at(now, actions);
+        list.at(now, actions);
+        desk.at(now);
+        nbd.at(now, actions);
+        if (!begun) {
+            begun = true;
+            list.remembered(rememberedList);
+            actions.add(new NetAction.Listen(NBD, settings.listen()));
+        }
+        for (NetEvent event : events) {
+            take(event, actions);
+        }
+        nodes.expire();
+        list.expire();
+        nbd.expire();
+        desk.expire();
+        decide(actions);
+        nbd.pump();
+        if (draining && !stopped && nbd.connections() == 0 && desk.operations() == 0) {
+            stopped = true;
+            actions.add(new NetAction.Stopped());
+        }
+    }
+
+    private void take(NetEvent event, List<NetAction> actions) {
+        if (event instanceof NetEvent.Received got) {
+            if (nbd.owns(got.conn())) {
+                nbd.received(got.conn(), got.data());
+            } else if (nodes.owns(got.conn())) {
+                nodes.received(got.conn(), got.data());
+            } else if (list.owns(got.conn())) {
+                list.received(got.data());
+            }
+        } else if (event instanceof NetEvent.Drained drained) {
+            if (nbd.owns(drained.conn())) {
+                nbd.drained(drained.conn(), drained.bytes());
+            }
+        } else if (event instanceof NetEvent.Accepted accepted) {
+            nbd.accepted(accepted.conn(), accepted.peer());
+        } else if (event instanceof NetEvent.Connected connected) {
+            if (nodes.owns(connected.conn())) {
+                nodes.connected(connected.conn());
+            } else if (list.owns(connected.conn())) {
+                list.connected();
+            }
+        } else if (event instanceof NetEvent.Closed closed) {
+            if (nbd.owns(closed.conn())) {
+                nbd.closed(closed.conn());
+            } else if (nodes.owns(closed.conn())) {
+                nodes.closed(closed.conn(), closed.opened());
+            } else if (list.owns(closed.conn())) {
+                list.closed();
+            }
+        } else if (event instanceof NetEvent.ListenFailed failed) {
+            actions.add(new NetAction.Note(Level.WARN, "can't listen on " + settings.listen() + ": "
+                    + failed.why()));
+        } else if (event instanceof NetEvent.Told told && told.order() instanceof Drain && !draining) {
+            draining = true;
+            actions.add(new NetAction.Unlisten(NBD));
+            nbd.drain();
+        }
+    }
+
+    private void decide(List<NetAction> actions) {
+        while (!alarms.isEmpty() && alarms.peek().at() <= now) {
+            desk.tell(new Alarm(alarms.poll().name()));
+        }
+        if (!desk.hasEvents()) {
+            return;
+        }
+        List<Event> told = desk.takeEvents();
+        for (Action action : scheduler.turn(now, told)) {
+            if (action instanceof Send send) {
+                desk.send(send);
+            } else if (action instanceof Refuse refuse) {
+                desk.refuse(refuse);
+            } else if (action instanceof Fail fail) {
+                desk.fail(fail);
+            } else if (action instanceof SetAlarm alarm) {
+                alarms.add(new Due(now + Math.max(0, alarm.after()), ++alarmCount, alarm.name()));
+            } else if (action instanceof Cancel cancel) {
+                nodes.cancel(cancel.id(), cancel.attempt());
+            } else if (action instanceof Check check) {
+                nodes.check(check.node());
+            } else if (action instanceof CloseIdle close) {
+                nodes.closeIdle(close.node());
+            } else if (action instanceof Watch watch) {
+                list.watch(watch.on());
+            } else if (action instanceof FetchList) {
+                list.fetch();
+            } else if (action instanceof Remark remark) {
+                actions.add(new NetAction.Note(Level.INFO, remark.text()));
+            }
+        }
+    }
+
+    @Override
+    public void ended(Attempt attempt, Outcome outcome, NodeMessage.Answer answer) {
+        desk.ended(attempt, outcome, answer);
+    }
+
+    @Override
+    public void checked(Checked checked) {
+        desk.tell(checked);
+    }
+
+    @Override
+    public long wakeAt() {
+        if (!begun || desk.hasEvents()) {
+            return now;
+        }
+        long next = Math.min(nodes.wakeAt(), list.wakeAt());
+        next = Math.min(next, Math.min(nbd.wakeAt(), desk.wakeAt()));
+        return alarms.isEmpty() ? next : Math.min(next, alarms.peek().at());
+    }
+
+    /** Figures of this head, for its log and its tests. */
+    public Figures figures() {
+        return new Figures(nbd.connections(), desk.operations(), nbd.bytesHeld(), nodes.connections(),
+                nodes.lateAnswers(), desk.refusedAtTable(), desk.overdue());
+    }
+
+    /** What a head holds and has counted. */
+    public record Figures(int connections, int operations, long bytesHeld, int nodeConnections, long lateAnswers,
+            long refusedAtTable, long overdue) { }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/HeadSettings.java
@@ -0,0 +1,48 @@
+package garnetreel.core;
+
+import garnetreel.policy.Scheduler;
+import java.util.List;
+
+/**
+ * What a head is told when it starts.
+ *
+ * @param head its number
+ * @param incarnation differs at each start of that head
+ * @param listen where NBD clients connect, host:port
+ * @param list where the node list is, host:port
+ * @param scheduling what the module is told
+ * @param volumes what is exported
+ * @param margin how long before the class's deadline the last word is said, for the way back to the client
+ */
+public record HeadSettings(int head, long incarnation, String listen, String list, Scheduler.Settings scheduling,
+        List<Volume> volumes, long margin, Bounds bounds, Links links) {
+
+    /**
+     * Bounds of what a head holds; what happens at each is in docs/gateway.md.
+     *
+     * @param connections client connections served
+     * @param connectionRequests requests under way a connection; past it the connection is not read from
+     * @param headRequests requests under way at this head; past it a request is refused before it is taken
+     * @param connectionBytes payload and replies held a connection; past it the connection is not read from
+     * @param headBytes the same for all connections together
+     * @param payload largest read or write
+     * @param unitBytes bytes that count as one unit; a part of a request holds at most so many units as the module is
+     *     told is the most
+     * @param keyBytes bytes that are one piece of data, to the module's key order and to the nodes' memory
+     * @param handshake time a client has for its handshake, in microseconds
+     */
+    public record Bounds(int connections, int connectionRequests, int headRequests, long connectionBytes,
+            long headBytes, int payload, int unitBytes, int keyBytes, long handshake) { }
+
+    /**
+     * Connections to nodes and the list.
+     *
+     * @param perNode connections to one node at most
+     * @param streams attempts that one of them carries
+     * @param idle time after which an unused one is closed
+     * @param connectTimeout time in which one must stand
+     * @param listCall time in which a call to the list must be answered
+     * @param listSilence time without a word after which a subscription counts as broken
+     */
+    public record Links(int perNode, int streams, long idle, long connectTimeout, long listCall, long listSilence) { }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/Volume.java
@@ -0,0 +1,15 @@
+package garnetreel.core;
+
+/**
+ * A volume, which clients see as an export.
+ *
+ * @param id the volume's number, the same at all heads
+ * @param size in bytes
+ * @param plan name of its plan
+ * @param readClass class of its reads, as of CACHE and BLOCK_STATUS
+ * @param writeClass class of what changes data
+ * @param flushClass class of FLUSH; its effect allows repeats
+ * @param hosts heads through which its requests come; 0 for all
+ */
+public record Volume(long id, String name, String description, long size, boolean readOnly, String plan,
+        String readClass, String writeClass, String flushClass, int hosts, Layout layout) { }
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/desk/Desk.java
@@ -0,0 +1,360 @@
+package garnetreel.core.desk;
+
+import garnetreel.codec.node.NodeMessage;
+import garnetreel.codec.node.NodeMessage.Op;
+import garnetreel.core.HeadSettings;
+import garnetreel.core.Layout;
+import garnetreel.core.Volume;
+import garnetreel.core.link.Attempt;
+import garnetreel.core.link.NodeLinks;
+import garnetreel.policy.Scheduler.Abandoned;
+import garnetreel.policy.Scheduler.Arrived;
+import garnetreel.policy.Scheduler.Effect;
+import garnetreel.policy.Scheduler.Ended;
+import garnetreel.policy.Scheduler.Event;
+import garnetreel.policy.Scheduler.Fail;
+import garnetreel.policy.Scheduler.Outcome;
+import garnetreel.policy.Scheduler.Refuse;
+import garnetreel.policy.Scheduler.RequestClass;
+import garnetreel.policy.Scheduler.Send;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * The life of requests: splits what a front brings along extents, tells the module of each part, carries out what it
+ * decides, and composes one answer. It decides nothing of sending, waiting, refusing, trying again or health; the only
+ * answers of its own are those of a full table and of a module that let a deadline pass.
+ */
+public final class Desk implements Backend {
+    /** Parts of one operation that the module knows at a time, so that a trim of 4 GiB does not flood it. */
+    private static final int PARTS_OUT = 32;
+    /** A block status answers for at most so many extents; the specification lets it be shorter than asked. */
+    private static final int STATUS_PARTS = 32;
+    /** A shard's number in a flush stands where an offset would; pieces of data have keys from 0. */
+    private static final long NO_KEY = -1;
+
+    private final HeadSettings settings;
+    private final HeadSettings.Bounds bounds;
+    private final NodeLinks links;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Map<Long, Part> parts = new HashMap<>();
+    private final TreeSet<Part> deadlines = new TreeSet<>(
+            Comparator.<Part>comparingLong(p -> p.validUntil).thenComparingLong(p -> p.id));
+    private final Dirt dirt = new Dirt();
+    private final int partBytes;
+    private List<Event> events = new ArrayList<>();
+    private long lastId;
+    private long now;
+    private int operations;
+    private long refusedAtTable;
+    private long overdue;
+
+    public Desk(HeadSettings settings, NodeLinks links) {
+        this.settings = settings;
+        this.bounds = settings.bounds();
+        this.links = links;
+        settings.scheduling().classes().forEach(c -> classes.put(c.name(), c));
+        partBytes = (int) Math.max(1, settings.scheduling().mostUnits()) * bounds.unitBytes();
+    }
+
+    /** Sets the time of this turn. */
+    public void at(long time) {
+        now = time;
+    }
+
+    /** What the module is to be told, handed over; empty when nothing happened. */
+    public List<Event> takeEvents() {
+        List<Event> taken = events;
+        events = new ArrayList<>();
+        return taken;
+    }
+
+    /** Adds an event that is not of a request. */
+    public void tell(Event event) {
+        events.add(event);
+    }
+
+    public boolean hasEvents() {
+        return !events.isEmpty();
+    }
+
+    /** Operations under way. */
+    public int operations() {
+        return operations;
+    }
+
+    /** Requests refused because the table was full. */
+    public long refusedAtTable() {
+        return refusedAtTable;
+    }
+
+    /** Parts that the module left unanswered past their deadline; always 0 unless it has a defect. */
+    public long overdue() {
+        return overdue;
+    }
+
+    // ---------------------------------------------------------------- from fronts
+
+    @Override
+    public Ticket take(Volume volume, Op op, long offset, long length, byte[] data, boolean sync, long tag,
+            Caller caller) {
+        RequestClass kind = classes.get(op == Op.FLUSH ? volume.flushClass()
+                : op.changes() ? volume.writeClass() : volume.readClass());
+        Operation operation = new Operation(volume, op, offset, length, data, sync, tag, caller, kind,
+                now + kind.deadline() - settings.margin());
+        if (operations >= bounds.headRequests()) {
+            // The table's own bound: refused before it is taken, as nothing has been sent for it.
+            refusedAtTable++;
+            operation.over = true;
+            caller.answered(Answer.refused(settings.scheduling().maxStayAway(), offset,
+                    "this head holds " + operations + " requests, its most"));
+            return operation;
+        }
+        operations++;
+        if (op == Op.FLUSH) {
+            flush(operation);
+        } else {
+            fill(operation);
+        }
+        finish(operation);
+        return operation;
+    }
+
+    private void flush(Operation operation) {
+        long upTo = dirt.upTo();
+        for (int shard : dirt.shards(operation.volume.id())) {
+            Part part = new Part(++lastId, operation, shard, 0, shard, 0, 1, NO_KEY, operation.validUntil);
+            part.flushUpTo = upTo;
+            begin(part);
+        }
+    }
+
+    /** Makes parts while there is room for them. */
+    private void fill(Operation operation) {
+        while (operation.more() && operation.open.size() < PARTS_OUT) {
+            long offset = operation.next;
+            Layout.Place place = operation.volume.layout().at(offset);
+            long end = Math.min(operation.offset + operation.length, place.end());
+            boolean carries = operation.op == Op.READ || operation.op == Op.WRITE;
+            if (carries) {
+                // Parts end where units do, so that neighbours of one piece of data keep its key.
+                end = Math.min(end, (offset / partBytes + 1) * partBytes);
+            }
+            int length = (int) Math.min(Integer.MAX_VALUE, end - offset);
+            int units = carries ? (length + bounds.unitBytes() - 1) / bounds.unitBytes() : 1;
+            operation.next = offset + length;
+            begin(new Part(++lastId, operation, offset, length, place.shard(), place.version(), units,
+                    key(operation.volume, offset), operation.validUntil));
+            if (operation.op == Op.STATUS && operation.next - operation.offset >= (long) STATUS_PARTS * length) {
+                operation.stopped = true;
+            }
+        }
+    }
+
+    /** A piece of data: the volume and the block within it. Kept under 2^53, as the wire has it. */
+    private long key(Volume volume, long offset) {
+        return (volume.id() & 0xffff) << 36 | offset / bounds.keyBytes() & 0xfffffffffL;
+    }
+
+    private void begin(Part part) {
+        Operation operation = part.operation;
+        operation.open.add(part);
+        parts.put(part.id, part);
+        deadlines.add(part);
+        Volume volume = operation.volume;
+        events.add(new Arrived(part.id, operation.kind.name(), volume.plan(), part.key, part.validUntil, volume.id(),
+                part.units, part.shard, volume.hosts(), false, operation.op.changes()));
+    }
+
+    /** Answers an operation if nothing of it is open, else goes on with what remains of it. */
+    private void finish(Operation operation) {
+        if (operation.over) {
+            return;
+        }
+        if (operation.more()) {
+            fill(operation);
+        }
+        if (operation.open.isEmpty()) {
+            operation.over = true;
+            operations--;
+            Answer answer = operation.answer();
+            operation.data = null;
+            operation.caller.answered(answer);
+        }
+    }
+
+    @Override
+    public void abandon(Ticket ticket) {
+        Operation operation = (Operation) ticket;
+        if (operation.over) {
+            return;
+        }
+        operation.over = true;
+        operation.stopped = true;
+        operations--;
+        for (Part part : List.copyOf(operation.open)) {
+            part.over = true;
+            events.add(new Abandoned(part.id));
+            forget(part);
+        }
+        operation.open.clear();
+    }
+
+    // ---------------------------------------------------------------- from the module
+
+    /** Starts an attempt; one that can't be started ends at once, in the next turn. */
+    public void send(Send send) {
+        Part part = parts.get(send.id());
+        if (part == null) {
+            tell(new Ended(send.id(), 0, send.node(), Outcome.MOOT, 0, true, 0, 0, Map.of()));
+            return;
+        }
+        int number = part.attempts++;
+        part.open++;
+        long until = send.timeout() == 0 ? part.validUntil
+                : Math.min(part.validUntil, now + Math.max(0, send.timeout()));
+        Attempt attempt = new Attempt(part.id, number, send.node(), now, until);
+        if (part.over || number >= settings.scheduling().tryLimit() || now >= until) {
+            ended(attempt, Outcome.MOOT, null);
+            return;
+        }
+        Operation operation = part.operation;
+        boolean keyed = operation.kind.effect() == Effect.KEYED;
+        links.send(attempt, new NodeMessage.Request(part.id, number, operation.tag, operation.op, keyed,
+                operation.sync, until - now, operation.volume.id(), part.shard, part.units, part.version, part.key,
+                operation.op == Op.FLUSH ? 0 : part.offset, part.length, part.data()));
+    }
+
+    public void refuse(Refuse refuse) {
+        Part part = parts.get(refuse.id());
+        if (part != null && !part.over) {
+            over(part);
+            part.operation.refused(part, refuse.stayAway());
+            finish(part.operation);
+        }
+    }
+
+    public void fail(Fail fail) {
+        Part part = parts.get(fail.id());
+        if (part != null && !part.over) {
+            over(part);
+            part.operation.failed(part, "failed: not done in time, or only in part; its effect is not known");
+            finish(part.operation);
+        }
+    }
+
+    // ---------------------------------------------------------------- from links
+
+    /** An attempt ended; {@code answer} is the node's, or null where it gave none. */
+    public void ended(Attempt attempt, Outcome outcome, NodeMessage.Answer answer) {
+        Part part = parts.get(attempt.id());
+        boolean served = outcome == Outcome.OK && part != null && !part.over;
+        Outcome told = outcome;
+        if (served) {
+            told = serve(part, answer);
+            served = told == Outcome.OK;
+        }
+        if (part != null) {
+            part.open--;
+        }
+        tell(new Ended(attempt.id(), attempt.number(), attempt.node(), told, now - attempt.sentAt(),
+                part == null || part.over, answer == null ? 0 : answer.cost(), answer == null ? 0 : answer.used(),
+                answer == null ? Map.of() : answer.load()));
+        if (part != null) {
+            forget(part);
+            if (served) {
+                finish(part.operation);
+            }
+        }
+    }
+
+    /** What an answer says of a part; an answer that can't be right counts as an error of the node. */
+    private Outcome serve(Part part, NodeMessage.Answer answer) {
+        Operation operation = part.operation;
+        ByteBuffer data = answer.data();
+        switch (operation.op) {
+            case READ -> {
+                if (data.remaining() != part.length) {
+                    return Outcome.ERROR;
+                }
+            }
+            case STATUS -> {
+                List<Stretch> stretches = new ArrayList<>();
+                long sum = 0;
+                ByteBuffer pairs = data.duplicate();
+                while (pairs.remaining() >= 8) {
+                    Stretch stretch = new Stretch(pairs.getInt(), pairs.getInt());
+                    sum += stretch.length();
+                    if (stretch.length() <= 0) {
+                        return Outcome.ERROR;
+                    }
+                    stretches.add(stretch);
+                }
+                if (sum != part.length) {
+                    return Outcome.ERROR;
+                }
+                part.stretches = stretches;
+            }
+            case FLUSH -> {
+                if (!dirt.flushed(operation.volume.id(), part.shard, answer.life(), part.flushUpTo)) {
+                    over(part);
+                    operation.failed(part, "the node of shard " + part.shard
+                            + " restarted and lost writes that were answered and not flushed");
+                    return Outcome.OK;
+                }
+            }
+            default -> {
+                if (operation.op.changes() && !operation.sync) {
+                    dirt.wrote(operation.volume.id(), part.shard, answer.life());
+                }
+            }
+        }
+        over(part);
+        operation.served(part, data);
+        return Outcome.OK;
+    }
+
+    private void over(Part part) {
+        part.over = true;
+        deadlines.remove(part);
+        forget(part);
+    }
+
+    /** Forgets a part that is over and has nothing out. */
+    private void forget(Part part) {
+        if (part.over) {
+            deadlines.remove(part);
+            if (part.open == 0) {
+                parts.remove(part.id);
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- time
+
+    /** When a deadline must be looked at. */
+    public long wakeAt() {
+        return deadlines.isEmpty() ? Long.MAX_VALUE
+                : deadlines.first().validUntil + settings.scheduling().rules().answerSlack();
+    }
+
+    /**
+     * Answers what the module left past its deadline. It guards the first rule against a defect in the module or a
+     * turn that came late; it can't hurt, as the client has given up by then.
+     */
+    public void expire() {
+        while (now >= wakeAt()) {
+            Part part = deadlines.first();
+            overdue++;
+            tell(new Abandoned(part.id));
+            over(part);
+            part.operation.failed(part, "no decision before the deadline");
+            finish(part.operation);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/desk/Part.java
@@ -0,0 +1,45 @@
+package garnetreel.core.desk;
+
+import garnetreel.codec.node.NodeMessage.Op;
+import garnetreel.core.desk.Backend.Stretch;
+import java.nio.ByteBuffer;
+import java.util.List;
+
+/** One request as the module knows it: the part of an operation that lies in one extent. */
+final class Part {
+    final long id;
+    final Operation operation;
+    final long offset;
+    final int length;
+    final int shard;
+    final long version;
+    final int units;
+    final long key;
+    final long validUntil;
+    /** For a flush: writes answered up to here are to be durable. */
+    long flushUpTo;
+    int attempts;
+    int open;
+    boolean over;
+    List<Stretch> stretches = List.of();
+
+    Part(long id, Operation operation, long offset, int length, int shard, long version, int units, long key,
+            long validUntil) {
+        this.id = id;
+        this.operation = operation;
+        this.offset = offset;
+        this.length = length;
+        this.shard = shard;
+        this.version = version;
+        this.units = units;
+        this.key = key;
+        this.validUntil = validUntil;
+    }
+
+    /** The bytes to write, as a view. */
+    ByteBuffer data() {
+        return operation.op == Op.WRITE
+                ? ByteBuffer.wrap(operation.data, (int) (offset - operation.offset), length).slice()
+                : ByteBuffer.allocate(0);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/front/Room.java
@@ -0,0 +1,66 @@
+package garnetreel.core.front;
+
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * Bytes that all connections of a head may hold together: payloads that came and replies that have not left. A
+ * connection that finds no room waits its turn and is not read from meanwhile.
+ *
+ * <p>One that holds nothing may always have one request, so that a request larger than the bound is served alone
+ * rather than never; the overshoot is one payload a connection at most.
+ */
+final class Room {
+    /** Who waits for room. */
+    interface Waiter {
+        void roomAgain();
+    }
+
+    private final long most;
+    private final Set<Waiter> waiters = new LinkedHashSet<>();
+    private long held;
+
+    Room(long most) {
+        this.most = most;
+    }
+
+    /** Takes room if there is some; else the caller waits and is called when there may be. */
+    boolean take(long bytes, boolean holdsNothing, Waiter waiter) {
+        if (held + bytes > most && !(holdsNothing && held < 2 * most)) {
+            waiters.add(waiter);
+            return false;
+        }
+        held += bytes;
+        return true;
+    }
+
+    void give(long bytes) {
+        held -= bytes;
+    }
+
+    void leave(Waiter waiter) {
+        waiters.remove(waiter);
+    }
+
+    /** Calls who waits, in order, while there is room. */
+    void pump() {
+        if (held >= most || waiters.isEmpty()) {
+            return;
+        }
+        ArrayDeque<Waiter> turn = new ArrayDeque<>(waiters);
+        waiters.clear();
+        while (!turn.isEmpty()) {
+            Waiter next = turn.poll();
+            if (held < most) {
+                next.roomAgain();
+            } else {
+                waiters.add(next);
+            }
+        }
+    }
+
+    long held() {
+        return held;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/io/Machine.java
@@ -0,0 +1,24 @@
+package garnetreel.core.io;
+
+import java.util.List;
+
+/**
+ * A program without I/O, clock, thread or log of its own: bytes, events and a time go in, actions come out. The same
+ * machine runs on sockets (garnetreel.net) and on an emulated network.
+ *
+ * <p>One thread at a time calls it. The same calls give the same actions.
+ */
+public interface Machine {
+
+    /**
+     * Handles all that happened since the last turn. The first turn has no events and is where a machine begins to
+     * listen and connect.
+     *
+     * @param now microseconds of a clock that never goes back, counted from the epoch so that machines can compare
+     * @param actions takes what is to be done, in order
+     */
+    void turn(long now, List<NetEvent> events, List<NetAction> actions);
+
+    /** When the next turn is wanted even if nothing happens; {@link Long#MAX_VALUE} for not at all. */
+    long wakeAt();
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/io/NetAction.java
@@ -0,0 +1,37 @@
+package garnetreel.core.io;
+
+import java.nio.ByteBuffer;
+
+/** What a {@link Machine} wants done. */
+public sealed interface NetAction {
+
+    /** Binds a listener; answered by Listening or ListenFailed. */
+    record Listen(String listener, String address) implements NetAction { }
+
+    /** Ends a listener; its connections go on. */
+    record Unlisten(String listener) implements NetAction { }
+
+    /** Opens a connection under a number below 0 that the machine chose and never used before. */
+    record Connect(long conn, String address) implements NetAction { }
+
+    /** Writes bytes; the buffer is given away. Drained tells when they have gone. */
+    record Write(long conn, ByteBuffer data) implements NetAction { }
+
+    /** Reads on, or stops reading, which in the end stops the peer from writing. */
+    record Reading(long conn, boolean on) implements NetAction { }
+
+    /** Ends a connection: at once with a reset, or after what is written has gone. */
+    record Close(long conn, boolean abort) implements NetAction { }
+
+    /** Keeps bytes under a name so that they survive a kill; the last of a name wins. */
+    record Persist(String name, byte[] data) implements NetAction { }
+
+    /** A line for the log. */
+    record Note(Level level, String text) implements NetAction { }
+
+    /** The machine has ended its work after an order to do so. */
+    record Stopped() implements NetAction { }
+
+    /** Weight of a {@link Note}. */
+    enum Level { DEBUG, INFO, WARN }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/io/NetEvent.java
@@ -0,0 +1,39 @@
+package garnetreel.core.io;
+
+import java.nio.ByteBuffer;
+
+/** What a {@link Machine} is told. Connections that were accepted have numbers above 0, those it opened below 0. */
+public sealed interface NetEvent {
+
+    /** A listener is bound; the address names the real port. */
+    record Listening(String listener, String address) implements NetEvent { }
+
+    /** A listener could not be bound. */
+    record ListenFailed(String listener, String why) implements NetEvent { }
+
+    /** A peer connected to a listener. */
+    record Accepted(long conn, String listener, String peer) implements NetEvent { }
+
+    /** A connection that the machine opened stands. */
+    record Connected(long conn) implements NetEvent { }
+
+    /** Bytes came; the machine owns the buffer. */
+    record Received(long conn, ByteBuffer data) implements NetEvent { }
+
+    /** So many bytes of what was to be written have left for the socket. */
+    record Drained(long conn, int bytes) implements NetEvent { }
+
+    /**
+     * The connection is over, or could not be opened; nothing more is told of it. Not told for one that the machine
+     * itself closed.
+     *
+     * @param opened false where it never stood, so that nothing written to it was sent
+     */
+    record Closed(long conn, boolean opened, String why) implements NetEvent { }
+
+    /** An order from whoever runs the machine. */
+    record Told(Order order) implements NetEvent { }
+
+    /** What can be ordered: each machine knows its own. */
+    interface Order { }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/link/NodeConnection.java
@@ -0,0 +1,27 @@
+package garnetreel.core.link;
+
+import garnetreel.codec.ByteQueue;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** One connection to a node and what is out on it. */
+final class NodeConnection {
+    final long conn;
+    final String node;
+    final long openedAt;
+    final ByteQueue in = new ByteQueue();
+    /** Attempts whose bytes were handed over: they may have run. */
+    final Map<Key, Attempt> sent = new LinkedHashMap<>();
+    boolean open;
+    long usedAt;
+
+    /** An attempt as its answer names it. */
+    record Key(long id, int number) { }
+
+    NodeConnection(long conn, String node, long now) {
+        this.conn = conn;
+        this.node = node;
+        this.openedAt = now;
+        this.usedAt = now;
+    }
+}
--- /dev/null
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -0,0 +1,297 @@
+package garnetreel.net;
+
+import garnetreel.core.io.Machine;
+import garnetreel.core.io.NetAction;
+import garnetreel.core.io.NetEvent;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * Runs one {@link Machine} on sockets: one thread calls it, XNIO's I/O threads bring it events and carry bytes. It
+ * decides nothing.
+ */
+public final class Driver implements AutoCloseable {
+    /** Keeps what a machine wants kept; called on the machine's thread, so it must not wait for a disk. */
+    @FunctionalInterface
+    public interface Keeper {
+        void keep(String name, byte[] data);
+    }
+
+    private static final int BACKLOG = 1024;
+    private static final OptionMap SOCKET = OptionMap.builder().set(Options.TCP_NODELAY, true)
+            .set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG).getMap();
+    /** Longest wait without a look at the machine's alarm. */
+    private static final long LONGEST_WAIT = 3_600_000_000L;
+
+    private final String name;
+    private final Logger log;
+    private final Machine machine;
+    private final XnioWorker worker;
+    private final Clock clock;
+    private final Keeper keeper;
+    private final Inbox inbox = new Inbox();
+    private final Map<Long, Wire> wires = new ConcurrentHashMap<>();
+    private final Map<Long, IoFuture<StreamConnection>> opening = new ConcurrentHashMap<>();
+    private final Map<String, AcceptingChannel<StreamConnection>> listeners = new ConcurrentHashMap<>();
+    private final Map<String, CompletableFuture<String>> bound = new ConcurrentHashMap<>();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private final AtomicLong accepted = new AtomicLong();
+    private final Set<Wire> written = new LinkedHashSet<>();
+    private final Set<Long> paused = new LinkedHashSet<>();
+    private final Thread thread;
+    private volatile boolean dead;
+
+    public Driver(String name, Machine machine, XnioWorker worker, Clock clock, Keeper keeper) {
+        this.name = name;
+        this.log = LoggerFactory.getLogger("garnetreel." + name);
+        this.machine = machine;
+        this.worker = worker;
+        this.clock = clock;
+        this.keeper = keeper;
+        this.thread = new Thread(this::run, name);
+        thread.setDaemon(true);
+    }
+
+    public Driver start() {
+        thread.start();
+        return this;
+    }
+
+    /** The address of a listener once it is bound; fails when it can't be. */
+    public CompletableFuture<String> bound(String listener) {
+        return bound.computeIfAbsent(listener, any -> new CompletableFuture<>());
+    }
+
+    /** Done once the machine has said that it stopped, or was ended. */
+    public CompletableFuture<Void> stopped() {
+        return stopped;
+    }
+
+    /** Hands an order to the machine. */
+    public void tell(NetEvent.Order order) {
+        inbox.add(new NetEvent.Told(order));
+    }
+
+    /** Ends at once, as a killed process would: no turn follows, sockets are closed as they are. */
+    @Override
+    public void close() {
+        dead = true;
+        inbox.close();
+        if (Thread.currentThread() != thread) {
+            try {
+                thread.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        listeners.values().forEach(IoUtils::safeClose);
+        opening.values().forEach(IoFuture::cancel);
+        wires.values().forEach(w -> w.close(true));
+        stopped.complete(null);
+    }
+
+    // ---------------------------------------------------------------- the machine's thread
+
+    private void run() {
+        try {
+            List<NetAction> actions = new ArrayList<>();
+            long wake = Long.MIN_VALUE;
+            while (!dead) {
+                long wait = wake == Long.MIN_VALUE ? 0 : Math.min(LONGEST_WAIT, wake - clock.micros());
+                List<NetEvent> events = inbox.take(wait * 1000);
+                if (events == null) {
+                    return;
+                }
+                machine.turn(clock.micros(), events, actions);
+                for (NetAction action : actions) {
+                    perform(action);
+                }
+                actions.clear();
+                flush();
+                for (NetEvent event : events) {
+                    if (event instanceof NetEvent.Received got && wires.get(got.conn()) != null) {
+                        wires.get(got.conn()).handled();
+                    } else if (event instanceof NetEvent.Closed closed) {
+                        wires.remove(closed.conn());
+                        paused.remove(closed.conn());
+                    }
+                }
+                wake = machine.wakeAt();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException | Error e) {
+            log.error("{} broke and ends", name, e);
+            stopped.completeExceptionally(e);
+            bound.values().forEach(b -> b.completeExceptionally(e));
+            close();
+        }
+    }
+
+    private void flush() {
+        for (Wire wire : written) {
+            int left = wire.flush();
+            if (left > 0) {
+                // Only who waits for room needs to be told at once.
+                inbox.add(new NetEvent.Drained(wire.conn, left), !paused.isEmpty());
+            }
+        }
+        written.clear();
+    }
+
+    private void perform(NetAction action) {
+        if (action instanceof NetAction.Write write) {
+            Wire wire = wires.get(write.conn());
+            if (wire != null) {
+                wire.write(write.data());
+                written.add(wire);
+            }
+        } else if (action instanceof NetAction.Reading reading) {
+            Wire wire = wires.get(reading.conn());
+            if (reading.on()) {
+                paused.remove(reading.conn());
+            } else {
+                paused.add(reading.conn());
+            }
+            if (wire != null) {
+                wire.reading(reading.on());
+            }
+        } else if (action instanceof NetAction.Close close) {
+            close(close);
+        } else if (action instanceof NetAction.Connect connect) {
+            connect(connect);
+        } else if (action instanceof NetAction.Listen listen) {
+            listen(listen);
+        } else if (action instanceof NetAction.Unlisten unlisten) {
+            IoUtils.safeClose(listeners.remove(unlisten.listener()));
+        } else if (action instanceof NetAction.Persist persist) {
+            keeper.keep(persist.name(), persist.data());
+        } else if (action instanceof NetAction.Note note) {
+            switch (note.level()) {
+                case DEBUG -> log.debug(note.text());
+                case INFO -> log.info(note.text());
+                case WARN -> log.warn(note.text());
+            }
+        } else if (action instanceof NetAction.Stopped) {
+            flush();
+            stopped.complete(null);
+        }
+    }
+
+    private void close(NetAction.Close close) {
+        paused.remove(close.conn());
+        IoFuture<StreamConnection> future = opening.remove(close.conn());
+        if (future != null) {
+            future.cancel();
+        }
+        Wire wire = wires.remove(close.conn());
+        if (wire != null) {
+            written.remove(wire);
+            wire.close(close.abort());
+        }
+    }
+
+    // ---------------------------------------------------------------- sockets
+
+    private void listen(NetAction.Listen listen) {
+        CompletableFuture<String> address = bound(listen.listener());
+        try {
+            AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
+                    Addresses.parse(listen.address()), (ChannelListener<AcceptingChannel<StreamConnection>>) channel
+                            -> accept(listen.listener(), channel), SOCKET);
+            listeners.put(listen.listener(), server);
+            server.resumeAccepts();
+            String text = Addresses.text(server.getLocalAddress(InetSocketAddress.class));
+            inbox.add(new NetEvent.Listening(listen.listener(), text));
+            address.complete(text);
+        } catch (IOException | IllegalArgumentException e) {
+            inbox.add(new NetEvent.ListenFailed(listen.listener(), e.getMessage()));
+            address.completeExceptionally(new IOException("can't listen on " + listen.address() + ": "
+                    + e.getMessage(), e));
+        }
+    }
+
+    private void accept(String listener, AcceptingChannel<StreamConnection> server) {
+        try {
+            StreamConnection stream;
+            while (!dead && !inbox.full() && (stream = server.accept()) != null) {
+                Wire wire = new Wire(accepted.incrementAndGet(), stream, inbox);
+                wires.put(wire.conn, wire);
+                SocketAddress peer = stream.getPeerAddress();
+                inbox.add(new NetEvent.Accepted(wire.conn, listener, peer instanceof InetSocketAddress inet
+                        ? Addresses.text(inet) : String.valueOf(peer)));
+                wire.start();
+            }
+        } catch (IOException e) {
+            log.warn("accepting on {} failed: {}", listener, e.getMessage());
+        }
+    }
+
+    private void connect(NetAction.Connect connect) {
+        long conn = connect.conn();
+        InetSocketAddress address;
+        try {
+            address = Addresses.parse(connect.address());
+        } catch (IllegalArgumentException e) {
+            inbox.add(new NetEvent.Closed(conn, false, e.getMessage()));
+            return;
+        }
+        IoFuture<StreamConnection> future = worker.openStreamConnection(address, null, SOCKET);
+        opening.put(conn, future);
+        future.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Void>() {
+            @Override
+            public void handleDone(StreamConnection stream, Void nothing) {
+                if (opening.remove(conn) == null || dead) {
+                    IoUtils.safeClose(stream); // the machine has closed it meanwhile
+                    return;
+                }
+                Wire wire = new Wire(conn, stream, inbox);
+                wires.put(conn, wire);
+                inbox.add(new NetEvent.Connected(conn));
+                wire.start();
+            }
+
+            @Override
+            public void handleFailed(IOException why, Void nothing) {
+                if (opening.remove(conn) != null) {
+                    inbox.add(new NetEvent.Closed(conn, false, String.valueOf(why.getMessage())));
+                }
+            }
+        }, null);
+    }
+
+    /** Connections that stand; for tests that watch handles. */
+    public int connections() {
+        return wires.size();
+    }
+
+    /** Accepted connections by listener are told to the machine; this is how many there were. */
+    public long acceptedEver() {
+        return accepted.get();
+    }
+
+    @Override
+    public String toString() {
+        return name + " " + new HashMap<>(listeners).keySet();
+    }
+}
