--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/DayCommand.java
@@ -0,0 +1,147 @@
+package garnetreel.cli;
+
+import garnetreel.cli.config.DayFile;
+import garnetreel.cli.config.SettingsException;
+import garnetreel.emulator.World;
+import garnetreel.standin.client.ClientMachine.Tally;
+import garnetreel.standin.day.DayRunner;
+import garnetreel.standin.day.DaySettings;
+import garnetreel.standin.day.Stage;
+import garnetreel.standin.rules.Verdict;
+import garnetreel.standin.trace.Trace;
+import garnetreel.standin.trace.TraceFile;
+import garnetreel.standin.trace.TraceHash;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Plays a scripted day and judges it. */
+@Command(name = "day", mixinStandardHelpOptions = true,
+        description = "Plays a day of load and troubles against heads and stand-ins, and judges the seven rules from "
+                + "what passed over the sockets. Exits 1 where a rule broke or a read showed the wrong data.")
+final class DayCommand implements Callable<Integer> {
+    /** What the checker allows for the way of what was sent: threads of one busy host, and an emulated network. */
+    private static final long SOCKET_TRANSIT = 100_000;
+    private static final long EMULATED_TRANSIT = 10_000;
+    /** An emulated day begins at a fixed time, so that its trace is the same wherever it is played. */
+    private static final long EMULATED_START = 1_800_000_000_000_000L;
+    private static final World.Delays DELAYS = new World.Delays(50, 200);
+
+    @Spec
+    CommandSpec spec;
+
+    @Parameters(arity = "0..1", paramLabel = "FILE", description = "The day.")
+    Path file;
+
+    @Option(names = "--list", description = "Names the days that come with the program.")
+    boolean list;
+
+    @Option(names = "--real", description = "Plays on loopback sockets; the default.")
+    boolean real;
+
+    @Option(names = "--emulated", description = "Plays on an emulated network and a virtual clock.")
+    boolean emulated;
+
+    @Option(names = "--seed", paramLabel = "N", description = "In place of the seed in the file.")
+    Long seed;
+
+    @Option(names = "--repeat", paramLabel = "N", defaultValue = "1",
+            description = "Plays it N times, with seeds that count up; stops at the first that breaks a rule.")
+    int repeat;
+
+    @Option(names = "--trace", paramLabel = "FILE", description = "Writes the traces as JSON lines.")
+    Path traceFile;
+
+    @Override
+    public Integer call() throws SettingsException, IOException {
+        if (list) {
+            return listDays();
+        }
+        if (file == null || real && emulated) {
+            throw new CommandLine.ParameterException(spec.commandLine(), file == null
+                    ? "a FILE or --list is needed" : "--real and --emulated exclude each other");
+        }
+        DayFile day = DayFile.read(file);
+        long first = seed == null ? day.seed() : seed;
+        for (long next = first; next < first + repeat; next++) {
+            if (!play(day.day(next, emulated ? EMULATED_TRANSIT : SOCKET_TRANSIT))) {
+                return Main.FAILED;
+            }
+        }
+        return Main.FINE;
+    }
+
+    private int listDays() throws IOException, SettingsException {
+        Path days = Path.of(System.getProperty("garnetreel.home", "."), "days");
+        try (Stream<Path> files = Files.list(days)) {
+            for (Path one : files.filter(f -> f.toString().endsWith(".hcl")).sorted().toList()) {
+                spec.commandLine().getOut().printf("%-32s %s%n", "days/" + one.getFileName(),
+                        DayFile.read(one).about());
+            }
+        }
+        return Main.FINE;
+    }
+
+    private boolean play(DaySettings day) throws IOException {
+        PrintWriter out = spec.commandLine().getOut();
+        out.printf("day %s, seed %d, %s%n", day.name(), day.seed(), emulated ? "emulated" : "on sockets");
+        TraceHash hash = new TraceHash();
+        TraceFile written = traceFile == null ? null : new TraceFile(traceFile);
+        Trace also = event -> {
+            if (emulated) {
+                hash.add(event);
+            }
+            if (written != null) {
+                written.add(event);
+            }
+        };
+        DayRunner.Result result;
+        if (emulated) {
+            result = new DayRunner(day, new World(EMULATED_START, day.seed(), DELAYS), also,
+                    UnaryOperator.identity()).run();
+        } else {
+            try (SocketStage stage = new SocketStage()) {
+                result = new DayRunner(day, (Stage) stage, also, UnaryOperator.identity()).run();
+            }
+        }
+        if (written != null) {
+            written.close();
+        }
+        print(out, result);
+        if (emulated) {
+            out.println("trace " + hash.hex());
+        }
+        out.flush();
+        return result.kept();
+    }
+
+    private static void print(PrintWriter out, DayRunner.Result result) {
+        out.printf("%-18s %-6s %8s %8s %8s %8s %8s %8s %8s%n", "load", "op", "asked", "in time", "late", "refused",
+                "failed", "lost", "tries");
+        result.tallies().forEach((load, byOp) -> byOp.forEach((op, t) -> out.printf(
+                "%-18s %-6s %8d %8d %8d %8d %8d %8d %8d%n", load, op, t.asked, t.inTime, t.served - t.inTime,
+                t.refused, t.failed, t.unreachable, t.tries)));
+        for (Verdict verdict : result.verdicts()) {
+            out.println(line(verdict));
+            verdict.broken().forEach(b -> out.println("       " + b));
+        }
+    }
+
+    private static String line(Verdict verdict) {
+        List<Object> parts = List.of(verdict.rule() <= 7 ? "rule " + verdict.rule() : "data  ", verdict.name(),
+                verdict.kept() ? "kept" : "BROKEN " + verdict.breaches() + " times", verdict.checked());
+        return String.format(Locale.ROOT, "%s  %-24s %s, %d checked", parts.toArray());
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/SocketStage.java
@@ -0,0 +1,68 @@
+package garnetreel.cli;
+
+import garnetreel.core.io.Machine;
+import garnetreel.core.io.NetEvent;
+import garnetreel.net.Driver;
+import garnetreel.standin.day.Stage;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.locks.LockSupport;
+
+/** Plays a day on loopback sockets and the host's clock, all in this process. */
+final class SocketStage implements Stage, AutoCloseable {
+    private static final int IO_THREADS = 4;
+
+    private final Process process;
+
+    SocketStage() throws IOException {
+        process = new Process(IO_THREADS);
+    }
+
+    @Override
+    public long now() {
+        return process.clock.micros();
+    }
+
+    @Override
+    public Actor launch(String name, Machine machine, Keeper keeper) {
+        Driver driver = process.run(name, machine, keeper::keep);
+        return new Actor() {
+            @Override
+            public String address(String listener) {
+                try {
+                    return Process.bound(driver, listener);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+
+            @Override
+            public void tell(NetEvent.Order order) {
+                driver.tell(order);
+            }
+
+            @Override
+            public void stall(long micros) {
+                driver.stall(micros);
+            }
+
+            @Override
+            public void kill() {
+                process.end(driver);
+            }
+        };
+    }
+
+    @Override
+    public void advance(long until) {
+        long left;
+        while ((left = until - now()) > 0) {
+            LockSupport.parkNanos(left * 1000);
+        }
+    }
+
+    @Override
+    public void close() {
+        process.close();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/config/DayFile.java
@@ -0,0 +1,166 @@
+package garnetreel.cli.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import garnetreel.core.Volume;
+import garnetreel.policy.Control;
+import garnetreel.policy.Scheduler.RequestClass;
+import garnetreel.standin.client.LoadSettings;
+import garnetreel.standin.client.LoadSettings.HeadAddress;
+import garnetreel.standin.client.LoadSettings.Times;
+import garnetreel.standin.day.DaySettings;
+import garnetreel.standin.day.Trouble;
+import garnetreel.standin.node.NodeSettings;
+import garnetreel.standin.rules.RuleSettings;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** A day as a settings file: a service, its nodes, the loads on it and the troubles of the day. */
+public final class DayFile {
+    private static final int PAGE = 4096;
+    private static final Set<Trouble.Kind> OF_LIST = Set.of(Trouble.Kind.LIST_LAG, Trouble.Kind.LIST_FAIL,
+            Trouble.Kind.LIST_SILENT, Trouble.Kind.LIST_CRASH);
+
+    private final String name;
+    private final Settings settings;
+    private final List<String> problems = new ArrayList<>();
+    private final List<Trouble> troubles = new ArrayList<>();
+    private final Map<String, JsonNode> loads = new LinkedHashMap<>();
+
+    private DayFile(String name, Settings settings) {
+        this.name = name;
+        this.settings = settings;
+    }
+
+    /** Reads and checks a day. */
+    public static DayFile read(Path path) throws SettingsException, IOException {
+        String file = String.valueOf(path.getFileName());
+        return of(file.replaceFirst("\\.hcl$", ""), Settings.read(path));
+    }
+
+    public static DayFile of(String name, Settings settings) throws SettingsException {
+        DayFile day = new DayFile(name, settings);
+        day.load();
+        if (!day.problems.isEmpty()) {
+            throw new SettingsException(day.problems);
+        }
+        return day;
+    }
+
+    /** What the file says it is about. */
+    public String about() {
+        return settings.text("/day/about", "");
+    }
+
+    private void check(boolean holds, String path, String problem) {
+        if (!holds) {
+            problems.add(settings.at(path) + problem);
+        }
+    }
+
+    private void load() {
+        check(!settings.root().path("day").isMissingNode(), "", "lacks the block day");
+        check(!settings.nodes().isEmpty(), "", "lacks a block node");
+        settings.root().path("load").fields().forEachRemaining(e -> {
+            loads.put(e.getKey(), e.getValue());
+            String path = "/load/" + e.getKey();
+            String volume = e.getValue().path("volume").asText();
+            check(settings.volumes().containsKey(volume), path + "/volume", "names \"" + volume
+                    + "\", and there is no such volume");
+            e.getValue().path("heads").forEach(h -> check(h.asInt() < settings.heads(), path + "/heads",
+                    "names head " + h.asInt() + ", and there are " + settings.heads()));
+            e.getValue().path("sizes").forEach(s -> check(Quantities.bytes(s.asText()) % PAGE == 0, path + "/sizes",
+                    "holds " + s + "; multiples of 4KiB are expected"));
+        });
+        check(!loads.isEmpty(), "", "lacks a block load");
+        settings.root().path("trouble").fields().forEachRemaining(e -> troubles.add(trouble(e.getKey(),
+                e.getValue())));
+    }
+
+    private Trouble trouble(String label, JsonNode node) {
+        String path = "/trouble/" + label;
+        Trouble.Kind kind = Trouble.Kind.valueOf(node.path("kind").asText().toUpperCase(Locale.ROOT)
+                .replace('-', '_'));
+        List<String> nodes = texts(node.path("nodes"));
+        List<Integer> heads = new ArrayList<>();
+        node.path("heads").forEach(h -> heads.add(h.asInt()));
+        List<String> onLoads = texts(node.path("loads"));
+        if (kind.name().startsWith("NODE")) {
+            check(!nodes.isEmpty(), path, "lacks \"nodes\"");
+        } else if (kind.name().startsWith("HEAD")) {
+            check(!heads.isEmpty(), path, "lacks \"heads\"");
+        } else if (!OF_LIST.contains(kind)) {
+            check(!onLoads.isEmpty(), path, "lacks \"loads\"");
+        }
+        nodes.forEach(n -> check(settings.nodes().containsKey(n), path + "/nodes", "names \"" + n
+                + "\", and there is no such node"));
+        heads.forEach(h -> check(h < settings.heads(), path + "/heads", "names head " + h + ", and there are "
+                + settings.heads()));
+        onLoads.forEach(l -> check(settings.root().path("load").has(l), path + "/loads", "names \"" + l
+                + "\", and there is no such load"));
+        return new Trouble(label, kind, nodes, heads, onLoads, settings.micros(path + "/at", "0s"),
+                settings.micros(path + "/for", "1s"), node.path("amount").asDouble(0));
+    }
+
+    private static List<String> texts(JsonNode array) {
+        List<String> texts = new ArrayList<>();
+        array.forEach(t -> texts.add(t.asText()));
+        return texts;
+    }
+
+    /** Seed that the file gives. */
+    public long seed() {
+        return (long) settings.number("/day/seed", 1);
+    }
+
+    /** The day. @param transit what the checker allows for the way of what was sent, in microseconds */
+    public DaySettings day(long seed, long transit) {
+        List<NodeSettings> nodes = List.copyOf(settings.nodes().values());
+        return new DaySettings(name, seed, settings.micros("/day/length", "10s"),
+                settings.micros("/day/settle", "5s"), settings.heads(), nodes, settings.micros("/list/lag", "0s"),
+                place -> settings.head(place.head(), place.incarnation(), place.listen(), place.list()),
+                Control::new, this::loads, List.copyOf(troubles), new RuleSettings(settings.rules(),
+                        settings.volumesById(), settings.classes(), settings.plans(), transit));
+    }
+
+    private List<LoadSettings> loads(List<String> addresses) {
+        Map<String, Integer> sharing = new LinkedHashMap<>();
+        loads.values().forEach(l -> sharing.merge(l.path("volume").asText(), 1, Integer::sum));
+        Map<String, Integer> taken = new LinkedHashMap<>();
+        List<LoadSettings> all = new ArrayList<>();
+        for (Iterator<Map.Entry<String, JsonNode>> it = loads.entrySet().iterator(); it.hasNext(); ) {
+            Map.Entry<String, JsonNode> entry = it.next();
+            JsonNode load = entry.getValue();
+            String path = "/load/" + entry.getKey();
+            Volume volume = settings.volumes().get(load.path("volume").asText());
+            // Each load has a stretch of its volume to itself, so that it knows what a read must show.
+            long stretch = volume.size() / sharing.get(volume.name()) / PAGE * PAGE;
+            int index = taken.merge(volume.name(), 1, Integer::sum) - 1;
+            List<HeadAddress> heads = new ArrayList<>();
+            load.path("heads").forEach(h -> heads.add(new HeadAddress(h.asInt(), addresses.get(h.asInt()))));
+            List<Integer> sizes = new ArrayList<>();
+            load.path("sizes").forEach(s -> sizes.add((int) Quantities.bytes(s.asText())));
+            if (sizes.isEmpty()) {
+                sizes.add((int) settings.bytes(path + "/size", "4KiB"));
+            }
+            RequestClass read = settings.classes().get(volume.readClass());
+            RequestClass write = settings.classes().get(volume.writeClass());
+            RequestClass flush = settings.classes().get(volume.flushClass());
+            all.add(new LoadSettings(entry.getKey(), volume.name(), volume.id(), heads,
+                    Math.max(heads.size(), load.path("connections").asInt(heads.size())),
+                    load.path("rate").asDouble(), load.path("read_share").asDouble(0.5),
+                    load.path("flush_share").asDouble(0), sizes, index * stretch, stretch,
+                    new Times(read.deadline(), write.deadline(), flush.deadline()),
+                    new Times(read.aim(), write.aim(), flush.aim()), load.path("retries").asInt(1),
+                    settings.micros(path + "/leave_every", "0s"), settings.micros(path + "/start", "0s"),
+                    settings.micros(path + "/stop", settings.text("/day/length", "10s"))));
+        }
+        return all;
+    }
+}
--- a/cli/src/main/java/garnetreel/cli/config/Settings.java
+++ b/cli/src/main/java/garnetreel/cli/config/Settings.java
@@ -180,7 +180,7 @@
                 number(path + "/cold_share", rules.coldShare()), has(path + "/warm_within")
                 ? micros(path + "/warm_within", "0s") : rules.warmWithin(), rules.fallMultiple(), rules.fall(),
                 number(path + "/defer_share", 0), micros(path + "/flush_every", "1s"),
-                micros(path + "/pause_every", "0s"), micros(path + "/pause_most", "0s"),
+                flag(path + "/journal", false), micros(path + "/pause_every", "0s"), micros(path + "/pause_most", "0s"),
                 micros(path + "/repeat_window", "5s"));
     }
 
--- a/codec/src/main/java/garnetreel/codec/node/NodeCodec.java
+++ b/codec/src/main/java/garnetreel/codec/node/NodeCodec.java
@@ -11,6 +11,7 @@
 import garnetreel.codec.node.NodeMessage.Probed;
 import garnetreel.codec.node.NodeMessage.Request;
 import garnetreel.codec.node.NodeMessage.Result;
+import garnetreel.codec.node.NodeMessage.Welcome;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -25,6 +26,7 @@
     private static final int CANCEL = 4;
     private static final int PROBE = 5;
     private static final int PROBED = 6;
+    private static final int WELCOME = 7;
     /** Fixed fields of a request and of an answer, in bytes. */
     private static final int REQUEST_FIXED = 8 + 2 + 8 + 1 + 1 + 8 + 8 + 4 + 4 + 8 + 8 + 8 + 4;
     private static final int ANSWER_FIXED = 8 + 2 + 1 + 4 + 4 + 8;
@@ -52,6 +54,7 @@
                 case CANCEL -> new Cancel(body.getLong(), body.getShort() & 0xffff);
                 case PROBE -> new Probe(body.getLong());
                 case PROBED -> new Probed(body.getLong(), body.getLong(), load(body));
+                case WELCOME -> new Welcome(body.getLong(), body.getLong());
                 default -> throw new ProtocolException("node message of unknown kind " + frame.kind());
             };
             if (body.hasRemaining()) {
@@ -115,7 +118,7 @@
         if (message instanceof Request r) {
             frame = Frames.begin(REQUEST, REQUEST_FIXED + r.data().remaining());
             frame.putLong(r.id()).putShort((short) r.attempt()).putLong(r.tag()).put((byte) r.op().ordinal())
-                    .put((byte) ((r.dropsRepeats() ? 1 : 0) | (r.sync() ? 2 : 0))).putLong(r.ttl()).putLong(r.volume())
+                    .put((byte) ((r.dropsRepeats() ? 1 : 0) | (r.sync() ? 2 : 0))).putLong(r.deadline()).putLong(r.volume())
                     .putInt(r.shard()).putInt(r.units()).putLong(r.version()).putLong(r.key()).putLong(r.offset())
                     .putInt(r.length()).put(r.data().duplicate());
         } else if (message instanceof Answer a) {
@@ -126,6 +129,8 @@
             frame.put(a.data().duplicate());
         } else if (message instanceof Hello h) {
             frame = Frames.begin(HELLO, 12).putInt(h.head()).putLong(h.incarnation());
+        } else if (message instanceof Welcome w) {
+            frame = Frames.begin(WELCOME, 16).putLong(w.life()).putLong(w.clock());
         } else if (message instanceof Cancel c) {
             frame = Frames.begin(CANCEL, 10).putLong(c.id()).putShort((short) c.attempt());
         } else if (message instanceof Probe p) {
--- a/codec/src/main/java/garnetreel/codec/node/NodeMessage.java
+++ b/codec/src/main/java/garnetreel/codec/node/NodeMessage.java
@@ -32,13 +32,24 @@
     }
 
     /**
-     * First message of a connection.
+     * First message of a connection; nothing else is sent before the {@link Welcome}.
      *
      * @param head number of the head
      * @param incarnation tells one life of that head from the next; repeats are known within one only
      */
     record Hello(int head, long incarnation) implements NodeMessage { }
 
+    /**
+     * The node's answer to {@link Hello}.
+     *
+     * @param life incarnation of the node
+     * @param clock the node's clock as it answers, in microseconds. A head that has it at its own time t knows that the
+     *     node's clock shows no more than {@code clock + (u - t)} at its time u, as the message took time to come:
+     *     deadlines can be told in the node's clock, and run out early rather than late, with no clocks in step. The two
+     *     clocks must run at the same rate over the life of a connection, that is all.
+     */
+    record Welcome(long life, long clock) implements NodeMessage { }
+
     /** No data; read-only use of a buffer's content never moves its position. */
     static ByteBuffer none() {
         return ByteBuffer.allocate(0);
@@ -52,16 +63,22 @@
      * @param tag what the client named the request; for traces only
      * @param dropsRepeats the class is keyed: the node answers a repeat of the id from memory
      * @param sync the effect must be durable before the answer
-     * @param ttl microseconds from its receipt after which the node must not begin it: whoever asked has given up by
-     *     then, and may already have written something newer
+     * @param deadline time of the node's clock from which it must not begin this: whoever asked has given up by then, and
+     *     may already have written something newer
      * @param units size in units
      * @param key piece of data; negative for none
      * @param offset byte of the volume
      * @param length bytes asked for, or written
      * @param data bytes to write; empty for other operations
      */
-    record Request(long id, int attempt, long tag, Op op, boolean dropsRepeats, boolean sync, long ttl, long volume,
-            int shard, int units, long version, long key, long offset, int length, ByteBuffer data) implements NodeMessage { }
+    record Request(long id, int attempt, long tag, Op op, boolean dropsRepeats, boolean sync, long deadline, long volume,
+            int shard, int units, long version, long key, long offset, int length, ByteBuffer data) implements NodeMessage {
+        /** The same with another deadline. */
+        public Request until(long time) {
+            return new Request(id, attempt, tag, op, dropsRepeats, sync, time, volume, shard, units, version, key,
+                    offset, length, data);
+        }
+    }
 
     /**
      * The answer to one attempt.
--- a/core/src/main/java/garnetreel/core/desk/Desk.java
+++ b/core/src/main/java/garnetreel/core/desk/Desk.java
@@ -226,7 +226,7 @@
         Operation operation = part.operation;
         boolean keyed = operation.kind.effect() == Effect.KEYED;
         links.send(attempt, new NodeMessage.Request(part.id, number, operation.tag, operation.op, keyed,
-                operation.sync, until - now, operation.volume.id(), part.shard, part.units, part.version, part.key,
+                operation.sync, until, operation.volume.id(), part.shard, part.units, part.version, part.key,
                 operation.op == Op.FLUSH ? 0 : part.offset, part.length, part.data()));
     }
 
--- a/core/src/main/java/garnetreel/core/link/NodeConnection.java
+++ b/core/src/main/java/garnetreel/core/link/NodeConnection.java
@@ -12,7 +12,10 @@
     final ByteQueue in = new ByteQueue();
     /** Attempts whose bytes were handed over: they may have run. */
     final Map<Key, Attempt> sent = new LinkedHashMap<>();
+    /** The node has welcomed this head. */
     boolean open;
+    /** What is added to a time of this head to have one that the node's clock shows no later. */
+    long clockStep;
     long usedAt;
 
     /** An attempt as its answer names it. */
--- a/core/src/main/java/garnetreel/core/link/NodeLinks.java
+++ b/core/src/main/java/garnetreel/core/link/NodeLinks.java
@@ -7,6 +7,7 @@
 import garnetreel.codec.node.NodeMessage.Hello;
 import garnetreel.codec.node.NodeMessage.Probe;
 import garnetreel.codec.node.NodeMessage.Probed;
+import garnetreel.codec.node.NodeMessage.Welcome;
 import garnetreel.core.HeadSettings;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.link.NodeConnection.Key;
@@ -137,6 +138,10 @@
         return link.sent.size() + (link.open ? 0 : waiting.getOrDefault(link.conn, List.of()).size());
     }
 
+    private void write(NodeConnection link, NodeMessage.Request request) {
+        write(link, (NodeMessage) request.until(request.deadline() + link.clockStep));
+    }
+
     private void write(NodeConnection link, NodeMessage message) {
         actions.add(new NetAction.Write(link.conn, NodeCodec.frame(message)));
     }
@@ -181,11 +186,15 @@
     // ---------------------------------------------------------------- what happens to connections
 
     public void connected(long conn) {
-        NodeConnection link = connections.get(conn);
+        write(connections.get(conn), new Hello(settings.head(), settings.incarnation()));
+    }
+
+    /** The node knows who this is, and its clock is known: the connection stands. */
+    private void welcomed(NodeConnection link, Welcome welcome) {
         link.open = true;
         link.usedAt = now;
-        write(link, new Hello(settings.head(), settings.incarnation()));
-        List<Waiting> queued = waiting.remove(conn);
+        link.clockStep = welcome.clock() - now;
+        List<Waiting> queued = waiting.remove(link.conn);
         if (queued != null) {
             for (Waiting one : queued) {
                 link.sent.put(new Key(one.attempt().id(), one.attempt().number()), one.attempt());
@@ -223,7 +232,9 @@
         try {
             NodeMessage message;
             while ((message = NodeCodec.next(link.in)) != null) {
-                if (message instanceof Answer answer) {
+                if (message instanceof Welcome welcome && !link.open) {
+                    welcomed(link, welcome);
+                } else if (message instanceof Answer answer) {
                     answered(link, answer);
                 } else if (message instanceof Probed probed) {
                     Check check = checks.remove(probed.id());
--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -60,6 +61,7 @@
     private final Set<Long> paused = new LinkedHashSet<>();
     private final Thread thread;
     private volatile boolean dead;
+    private volatile long stalledUntil = Long.MIN_VALUE;
 
     public Driver(String name, Machine machine, XnioWorker worker, Clock clock, Keeper keeper) {
         this.name = name;
@@ -92,6 +94,11 @@
         inbox.add(new NetEvent.Told(order));
     }
 
+    /** Gives the machine no turn for so long, as if the process were stopped. For trying that out. */
+    public void stall(long micros) {
+        stalledUntil = clock.micros() + micros;
+    }
+
     /** Ends at once, as a killed process would: no turn follows, sockets are closed as they are. */
     @Override
     public void close() {
@@ -122,6 +129,9 @@
                 if (events == null) {
                     return;
                 }
+                while (!dead && clock.micros() < stalledUntil) {
+                    LockSupport.parkNanos((stalledUntil - clock.micros()) * 1000);
+                }
                 machine.turn(clock.micros(), events, actions);
                 for (NetAction action : actions) {
                     perform(action);
--- /dev/null
+++ b/standin/src/main/java/garnetreel/standin/client/ClientMachine.java
@@ -0,0 +1,429 @@
+package garnetreel.standin.client;
+
+import garnetreel.codec.ByteQueue;
+import garnetreel.codec.ProtocolException;
+import garnetreel.codec.nbd.Nbd;
+import garnetreel.core.io.Machine;
+import garnetreel.core.io.NetAction;
+import garnetreel.core.io.NetEvent;
+import garnetreel.standin.client.NbdReplies.Piece;
+import garnetreel.standin.trace.Trace;
+import garnetreel.standin.trace.TraceEvent;
+import garnetreel.standin.trace.TraceEvent.Kind;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A scripted NBD client: asks at a rate, waits no longer than its deadline, tries again where that is harmless, drops
+ * connections with work outstanding, and checks that each read shows what was acknowledged.
+ */
+public final class ClientMachine implements Machine {
+    private static final long RECONNECT = 100_000;
+    private static final long LEAST_AWAY = 20_000;
+    private static final long MOST_AWAY = 2_000_000;
+    /** Tags are the client's number and a count, so that no two clients share one. */
+    private static final int TAG_SHIFT = 32;
+    private static final Pattern AWAY = Pattern.compile("stay away for (\\d+) ms");
+    private static final double[] HEAD_WEIGHTS = {0.6, 0.25, 0.15};
+
+    /** Multiplies the rate from now on. */
+    public record Surge(double factor) implements NetEvent.Order { }
+
+    /** What became of first tries, by operation. */
+    public static final class Tally {
+        public long asked;
+        public long served;
+        public long inTime;
+        public long refused;
+        public long failed;
+        public long unreachable;
+        public long tries;
+        public long misread;
+    }
+
+    private static final class Link {
+        final int head;
+        final String address;
+        long conn;
+        boolean ready;
+        long againAt;
+        ByteQueue in = new ByteQueue();
+        NbdReplies replies = new NbdReplies();
+        final Map<Long, Try> out = new TreeMap<>();
+
+        Link(int head, String address) {
+            this.head = head;
+            this.address = address;
+        }
+    }
+
+    /** One request with all its tries. */
+    private static final class Ask {
+        final String op;
+        final long offset;
+        final int length;
+        final long stamp;
+        final long first;
+        final Link link;
+        int tries;
+
+        Ask(String op, long offset, int length, long stamp, long first, Link link) {
+            this.op = op;
+            this.offset = offset;
+            this.length = length;
+            this.stamp = stamp;
+            this.first = first;
+            this.link = link;
+        }
+    }
+
+    private static final class Try {
+        final Ask ask;
+        byte[] read;
+        int error;
+        String message = "";
+
+        Try(Ask ask) {
+            this.ask = ask;
+        }
+    }
+
+    private final LoadSettings settings;
+    private final Trace trace;
+    private final SplittableRandom random;
+    private final long number;
+    private final List<Link> links = new ArrayList<>();
+    private final Map<Long, Link> byConn = new HashMap<>();
+    private final Pages pages = new Pages();
+    private final List<Long> freeSlots = new ArrayList<>();
+    private final int slotBytes;
+    private final TreeMap<Long, List<Ask>> again = new TreeMap<>();
+    private final TreeMap<Long, List<Long>> giveUps = new TreeMap<>();
+    private final Map<Long, Try> waitedFor = new HashMap<>();
+    private final Map<String, Tally> tallies = new TreeMap<>();
+    private List<NetAction> actions = new ArrayList<>();
+    private double surge = 1;
+    private long now;
+    private long began = -1;
+    private long nextAsk;
+    private long nextLeave = Long.MAX_VALUE;
+    private long lastConn;
+    private long lastTag;
+    private long lastStamp;
+
+    /** @param number differs between the clients of a run */
+    public ClientMachine(LoadSettings settings, long number, Trace trace, long seed) {
+        this.settings = settings;
+        this.number = number;
+        this.trace = trace;
+        this.random = new SplittableRandom(seed);
+        for (int i = 0; i < settings.connections(); i++) {
+            LoadSettings.HeadAddress head = settings.heads().get(i % settings.heads().size());
+            links.add(new Link(head.head(), head.address()));
+        }
+        slotBytes = settings.sizes().stream().mapToInt(Integer::intValue).max().orElse(4096);
+        for (long at = settings.offset(); at + slotBytes <= settings.offset() + settings.length(); at += slotBytes) {
+            freeSlots.add(at);
+        }
+    }
+
+    @Override
+    public void turn(long time, List<NetEvent> events, List<NetAction> out) {
+        now = Math.max(now, time);
+        actions = out;
+        if (began < 0) {
+            began = now;
+            nextAsk = began + settings.start() + gap();
+            scheduleLeave();
+        }
+        for (NetEvent event : events) {
+            take(event);
+        }
+        connect();
+        giveUp();
+        leave();
+        ask();
+    }
+
+    private void take(NetEvent event) {
+        if (event instanceof NetEvent.Connected connected && byConn.containsKey(connected.conn())) {
+            actions.add(new NetAction.Write(connected.conn(), NbdReplies.opening(settings.export())));
+        } else if (event instanceof NetEvent.Received got && byConn.containsKey(got.conn())) {
+            received(byConn.get(got.conn()), got.data());
+        } else if (event instanceof NetEvent.Closed closed && byConn.containsKey(closed.conn())) {
+            lost(byConn.get(closed.conn()), "head gone");
+        } else if (event instanceof NetEvent.Told told && told.order() instanceof Surge factor) {
+            surge = factor.factor();
+            nextAsk = Math.min(nextAsk, now + gap());
+        }
+    }
+
+    // ---------------------------------------------------------------- connections
+
+    private void connect() {
+        for (Link link : links) {
+            if (link.conn == 0 && now >= link.againAt) {
+                link.conn = -++lastConn;
+                link.ready = false;
+                link.in = new ByteQueue();
+                link.replies = new NbdReplies();
+                byConn.put(link.conn, link);
+                actions.add(new NetAction.Connect(link.conn, link.address));
+            }
+        }
+    }
+
+    private void lost(Link link, String why) {
+        byConn.remove(link.conn);
+        link.conn = 0;
+        link.ready = false;
+        link.againAt = now + RECONNECT;
+        for (Map.Entry<Long, Try> entry : List.copyOf(link.out.entrySet())) {
+            Ask ask = entry.getValue().ask;
+            event(Kind.LEAVE, entry.getKey(), ask, why);
+            waitedFor.remove(entry.getKey());
+            if (ask.op.equals("write")) {
+                pages.unknown(ask.offset, ask.length, ask.stamp, now);
+            }
+            tally(ask).unreachable++;
+            release(ask);
+        }
+        link.out.clear();
+    }
+
+    private void scheduleLeave() {
+        nextLeave = settings.leaveEvery() <= 0 ? Long.MAX_VALUE : now + exponential(settings.leaveEvery());
+    }
+
+    /** Drops a connection that has work out, if one has. */
+    private void leave() {
+        if (now < nextLeave) {
+            return;
+        }
+        scheduleLeave();
+        for (Link link : links) {
+            if (link.ready && !link.out.isEmpty()) {
+                actions.add(new NetAction.Close(link.conn, true));
+                lost(link, "left");
+                return;
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- asking
+
+    private long exponential(double mean) {
+        return (long) (-Math.log(1 - random.nextDouble()) * mean);
+    }
+
+    private long gap() {
+        return Math.max(1, exponential(1e6 / (settings.rate() * surge)));
+    }
+
+    private void ask() {
+        while (!again.isEmpty() && again.firstKey() <= now) {
+            again.pollFirstEntry().getValue().forEach(this::send);
+        }
+        while (now >= nextAsk && now < began + settings.stop()) {
+            nextAsk += gap();
+            String op = random.nextDouble() < settings.readShare() ? "read"
+                    : random.nextDouble() < settings.flushShare() ? "flush" : "write";
+            Link link = pickLink();
+            if (freeSlots.isEmpty()) {
+                continue; // as many out as it has places to write to
+            }
+            int slot = random.nextInt(freeSlots.size());
+            long offset = freeSlots.get(slot);
+            freeSlots.set(slot, freeSlots.get(freeSlots.size() - 1));
+            freeSlots.remove(freeSlots.size() - 1);
+            int length = settings.sizes().get(random.nextInt(settings.sizes().size()));
+            long stamp = op.equals("write") ? number << TAG_SHIFT | ++lastStamp : 0;
+            Ask ask = new Ask(op, offset, length, stamp, now, link);
+            tally(ask).asked++;
+            send(ask);
+        }
+    }
+
+    private Link pickLink() {
+        double draw = random.nextDouble();
+        int head = 0;
+        int heads = settings.heads().size();
+        while (head + 1 < heads && draw > HEAD_WEIGHTS[Math.min(head, HEAD_WEIGHTS.length - 1)]) {
+            draw -= HEAD_WEIGHTS[Math.min(head, HEAD_WEIGHTS.length - 1)];
+            head++;
+        }
+        int per = (links.size() - head + heads - 1) / heads;
+        return links.get(Math.min(links.size() - 1, head + heads * random.nextInt(Math.max(1, per))));
+    }
+
+    private void send(Ask ask) {
+        Link link = ask.link;
+        if (!link.ready) {
+            tally(ask).unreachable++;
+            release(ask);
+            return;
+        }
+        ask.tries++;
+        tally(ask).tries++;
+        long tag = number << TAG_SHIFT | ++lastTag;
+        Try one = new Try(ask);
+        if (ask.op.equals("read")) {
+            one.read = new byte[ask.length];
+        }
+        link.out.put(tag, one);
+        waitedFor.put(tag, one);
+        giveUps.computeIfAbsent(now + settings.deadlines().of(ask.op), any -> new ArrayList<>()).add(tag);
+        event(Kind.ASK, tag, ask, Integer.toString(ask.tries - 1));
+        boolean flush = ask.op.equals("flush");
+        actions.add(new NetAction.Write(link.conn, NbdReplies.request(flush ? Nbd.CMD_FLUSH
+                : ask.op.equals("read") ? Nbd.CMD_READ : Nbd.CMD_WRITE, 0, tag, flush ? 0 : ask.offset,
+                flush ? 0 : ask.length, ask.op.equals("write") ? Pages.fill(ask.stamp, ask.length) : null)));
+    }
+
+    private void giveUp() {
+        while (!giveUps.isEmpty() && giveUps.firstKey() <= now) {
+            for (long tag : giveUps.pollFirstEntry().getValue()) {
+                Try one = waitedFor.remove(tag);
+                if (one != null) {
+                    event(Kind.GIVE_UP, tag, one.ask, "");
+                }
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- answers
+
+    private void received(Link link, ByteBuffer data) {
+        link.in.add(data);
+        try {
+            NbdReplies.Said said;
+            while ((said = link.replies.next(link.in)) != null) {
+                if (said instanceof Piece piece) {
+                    piece(link, piece);
+                } else {
+                    link.ready = true;
+                }
+            }
+        } catch (ProtocolException e) {
+            actions.add(new NetAction.Note(NetAction.Level.WARN, settings.name() + ": " + e.getMessage()));
+            actions.add(new NetAction.Close(link.conn, true));
+            lost(link, "protocol broken: " + e.getMessage());
+        }
+    }
+
+    private void piece(Link link, Piece piece) throws ProtocolException {
+        Try one = link.out.get(piece.cookie());
+        if (one == null) {
+            trace.add(TraceEvent.client(now, settings.name(), Integer.toString(link.head), Kind.REPLY,
+                    piece.cookie(), "", settings.volume(), 0, 0, "unasked"));
+            throw new ProtocolException("a reply to cookie " + piece.cookie() + ", which nobody waits for");
+        }
+        if (piece.error() != 0) {
+            one.error = piece.error();
+            one.message = piece.message();
+        } else if (piece.data() != null) {
+            System.arraycopy(piece.data(), 0, one.read, (int) (piece.offset() - one.ask.offset),
+                    piece.data().length);
+        }
+        if (piece.done()) {
+            link.out.remove(piece.cookie());
+            waitedFor.remove(piece.cookie());
+            answered(piece.cookie(), one);
+        }
+    }
+
+    private void answered(long tag, Try one) {
+        Ask ask = one.ask;
+        Tally tally = tally(ask);
+        boolean inTime = now - ask.first <= settings.aims().of(ask.op);
+        String outcome = switch (one.error) {
+            case 0 -> inTime ? "served" : "late";
+            case Nbd.ENOMEM -> "refused";
+            default -> "failed";
+        };
+        event(Kind.REPLY, tag, ask, outcome);
+        if (one.error == 0) {
+            tally.served++;
+            tally.inTime += inTime ? 1 : 0;
+            if (ask.op.equals("write")) {
+                pages.acknowledged(ask.offset, ask.length, ask.stamp, now);
+            } else if (ask.op.equals("read")) {
+                String wrong = pages.misread(ask.offset, one.read);
+                if (wrong != null) {
+                    tally.misread++;
+                    event(Kind.MISREAD, tag, ask, wrong);
+                }
+            }
+            release(ask);
+            return;
+        }
+        if (ask.op.equals("write") && !outcome.equals("refused")) {
+            pages.unknown(ask.offset, ask.length, ask.stamp, now);
+        }
+        boolean harmless = outcome.equals("refused") || ask.op.equals("read");
+        long away = away(one.message);
+        if (harmless && ask.tries <= settings.retries()
+                && now + away < ask.first + settings.deadlines().of(ask.op)) {
+            again.computeIfAbsent(now + away, any -> new ArrayList<>()).add(ask);
+            return;
+        }
+        if (outcome.equals("refused")) {
+            tally.refused++;
+        } else {
+            tally.failed++;
+        }
+        release(ask);
+    }
+
+    private static long away(String message) {
+        Matcher advice = AWAY.matcher(message);
+        long away = advice.find() ? Long.parseLong(advice.group(1)) * 1000 : 0;
+        return Math.max(LEAST_AWAY, Math.min(MOST_AWAY, away));
+    }
+
+    private void release(Ask ask) {
+        freeSlots.add(ask.offset);
+    }
+
+    private Tally tally(Ask ask) {
+        return tallies.computeIfAbsent(ask.op, any -> new Tally());
+    }
+
+    private void event(Kind kind, long tag, Ask ask, String outcome) {
+        trace.add(TraceEvent.client(now, settings.name(), Integer.toString(ask.link.head), kind, tag, ask.op,
+                settings.volume(), ask.offset, ask.length, outcome));
+    }
+
+    @Override
+    public long wakeAt() {
+        if (began < 0) {
+            return now;
+        }
+        long next = nextAsk < began + settings.stop() ? Math.min(nextAsk, nextLeave) : Long.MAX_VALUE;
+        next = again.isEmpty() ? next : Math.min(next, again.firstKey());
+        next = giveUps.isEmpty() ? next : Math.min(next, giveUps.firstKey());
+        for (Link link : links) {
+            if (link.conn == 0) {
+                next = Math.min(next, link.againAt);
+            }
+        }
+        return next;
+    }
+
+    /** What became of first tries, by operation. Read it when the machine has ended. */
+    public Map<String, Tally> tallies() {
+        return tallies;
+    }
+
+    /** Whether answers are still waited for. */
+    public boolean quiet() {
+        return waitedFor.isEmpty() && again.isEmpty();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/garnetreel/standin/day/DayRunner.java
@@ -0,0 +1,249 @@
+package garnetreel.standin.day;
+
+import garnetreel.codec.nodelist.ListMessage.Entry;
+import garnetreel.codec.nodelist.ListMessage.State;
+import garnetreel.core.Head;
+import garnetreel.core.HeadSettings;
+import garnetreel.core.io.Machine;
+import garnetreel.core.link.ListLink;
+import garnetreel.standin.client.ClientMachine;
+import garnetreel.standin.client.LoadSettings;
+import garnetreel.standin.list.ListMachine;
+import garnetreel.standin.node.Disk;
+import garnetreel.standin.node.NodeFault;
+import garnetreel.standin.node.NodeMachine;
+import garnetreel.standin.node.NodeSettings;
+import garnetreel.standin.rules.RulesChecker;
+import garnetreel.standin.rules.Verdict;
+import garnetreel.standin.trace.Trace;
+import garnetreel.standin.trace.TraceEvent;
+import garnetreel.standin.trace.TraceMemory;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
+
+/** Plays a day on a stage: launches everything, makes the troubles happen, and has the traces judged. */
+public final class DayRunner {
+    private static final String ANY_PORT = "127.0.0.1:0";
+    /** Before the loads begin: the heads connect to the list and the clients to the heads. */
+    private static final long LEAD = 300_000;
+    /** A node that drains is gone so long after its grace. */
+    private static final long DRAIN_WORK = 1_000_000;
+    private static final int SEED_STEP = 1_000;
+
+    /** How a day went. */
+    public record Result(Map<String, Map<String, ClientMachine.Tally>> tallies, List<Verdict> verdicts,
+            List<TraceEvent> events) {
+        public boolean kept() {
+            return verdicts.stream().allMatch(Verdict::kept);
+        }
+    }
+
+    private record Step(long at, long order, Runnable what) { }
+
+    private final class NodeSite {
+        final NodeSettings settings;
+        final Disk disk = new Disk();
+        Stage.Actor actor;
+        long lives;
+        String address = ANY_PORT;
+
+        NodeSite(NodeSettings settings) {
+            this.settings = settings;
+        }
+
+        void start(boolean warm) {
+            NodeSettings now = settings.withListen(address).withStartedLongAgo(warm && settings.startedLongAgo());
+            lives++;
+            // What a journal holds outlives the process, so its life goes on by name.
+            long life = settings.journal() ? 1 : lives;
+            actor = stage.launch(settings.name(), new NodeMachine(now.withList(listAddress), disk, trace,
+                    random.nextLong(), life), Stage.Keeper.NONE);
+            address = actor.address("node");
+        }
+
+        void crash() {
+            actor.kill();
+            disk.crash();
+        }
+    }
+
+    private final class HeadSite {
+        final int number;
+        final Map<String, byte[]> kept = new HashMap<>();
+        Stage.Actor actor;
+        String address = ANY_PORT;
+
+        HeadSite(int number) {
+            this.number = number;
+        }
+
+        void start() {
+            HeadSettings settings = day.head().apply(new DaySettings.Place(number, stage.now(), address,
+                    listAddress));
+            Machine head = wrapper.apply(new Head(settings, day.scheduler().apply(settings.scheduling(),
+                    random.nextLong()), kept.get(ListLink.REMEMBERED)));
+            actor = stage.launch("head-" + number, head, (name, data) -> {
+                synchronized (kept) {
+                    kept.put(name, data);
+                }
+            });
+            address = actor.address(Head.NBD);
+        }
+    }
+
+    private final DaySettings day;
+    private final Stage stage;
+    private final Trace trace;
+    private final TraceMemory memory = new TraceMemory();
+    private final UnaryOperator<Machine> wrapper;
+    private final SplittableRandom random;
+    private final Map<String, NodeSite> nodes = new LinkedHashMap<>();
+    private final List<HeadSite> heads = new ArrayList<>();
+    private final Map<String, Stage.Actor> clients = new LinkedHashMap<>();
+    private final Map<String, ClientMachine> loads = new LinkedHashMap<>();
+    private final PriorityQueue<Step> steps = new PriorityQueue<>((a, b) -> a.at() != b.at()
+            ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private Stage.Actor list;
+    private String listAddress = ANY_PORT;
+    private long stepCount;
+
+    /**
+     * @param also takes each event of the traces as it comes, besides the judge
+     * @param wrapper put round each head, to make it a wrong one; usually the identity
+     */
+    public DayRunner(DaySettings day, Stage stage, Trace also, UnaryOperator<Machine> wrapper) {
+        this.day = day;
+        this.stage = stage;
+        this.wrapper = wrapper;
+        this.random = new SplittableRandom(day.seed());
+        this.trace = also == Trace.NONE ? memory : event -> {
+            memory.add(event);
+            also.add(event);
+        };
+    }
+
+    public Result run() {
+        day.nodes().forEach(n -> nodes.put(n.name(), new NodeSite(n)));
+        // Nodes are listed from the start: the first list a head gets holds them all.
+        nodes.values().forEach(n -> n.start(true));
+        List<Entry> entries = nodes.values().stream().map(n -> new Entry(n.address, n.settings.zone(),
+                n.settings.shard(), State.UP, 1, n.settings.startedLongAgo() ? 0 : stage.now())).toList();
+        startList(entries);
+        // The address of the list was not known before: nodes register from their second life on, and the first is
+        // told to the list by a keeper of its own.
+        nodes.values().forEach(n -> n.actor.tell(new NodeMachine.ListAt(listAddress)));
+        for (int head = 0; head < day.heads(); head++) {
+            HeadSite site = new HeadSite(head);
+            heads.add(site);
+            site.start();
+        }
+        stage.advance(stage.now() + LEAD);
+        List<String> addresses = heads.stream().map(h -> h.address).toList();
+        long number = 0;
+        for (LoadSettings load : day.loads().apply(addresses)) {
+            ClientMachine client = new ClientMachine(load, ++number, trace, day.seed() * SEED_STEP + number);
+            loads.put(load.name(), client);
+            clients.put(load.name(), stage.launch(load.name(), client, Stage.Keeper.NONE));
+        }
+        long begin = stage.now();
+        day.troubles().forEach(t -> schedule(begin, t));
+        while (!steps.isEmpty()) {
+            Step step = steps.poll();
+            stage.advance(step.at());
+            step.what().run();
+        }
+        stage.advance(begin + day.length() + day.settle());
+        clients.values().forEach(Stage.Actor::kill);
+        heads.forEach(h -> h.actor.kill());
+        nodes.values().forEach(n -> n.actor.kill());
+        list.kill();
+        Map<String, Map<String, ClientMachine.Tally>> tallies = new LinkedHashMap<>();
+        loads.forEach((name, client) -> tallies.put(name, client.tallies()));
+        List<TraceEvent> events = memory.events();
+        return new Result(tallies, RulesChecker.judge(day.rules(), events), events);
+    }
+
+    private void startList(List<Entry> entries) {
+        list = stage.launch("list", new ListMachine("list", listAddress, entries, day.listLag(), trace),
+                Stage.Keeper.NONE);
+        listAddress = list.address("list");
+    }
+
+    private void at(long time, Runnable what) {
+        steps.add(new Step(time, ++stepCount, what));
+    }
+
+    private void schedule(long begin, Trouble t) {
+        long from = begin + t.at();
+        long to = from + t.length();
+        switch (t.kind()) {
+            case NODE_CRASH -> eachNode(t, n -> {
+                at(from, n::crash);
+                at(to, () -> n.start(false));
+            });
+            case NODE_VANISH -> eachNode(t, n -> {
+                at(from, () -> n.actor.tell(new NodeFault(NodeFault.Kind.SILENCE, 1)));
+                at(to, () -> {
+                    n.crash();
+                    n.start(false);
+                });
+            });
+            case NODE_DRAIN -> eachNode(t, n -> {
+                long grace = day.rules().rules().stopSendingWithin() + DRAIN_WORK;
+                at(from, () -> n.actor.tell(new NodeFault(NodeFault.Kind.DRAIN, grace + day.listLag())));
+                at(Math.max(to, from + grace + day.listLag()), n::crash);
+                at(Math.max(to, from + grace + day.listLag()) + DRAIN_WORK, () -> n.start(false));
+            });
+            case NODE_SLOW -> fault(t, from, to, NodeFault.Kind.SLOW);
+            case NODE_ERRORS -> fault(t, from, to, NodeFault.Kind.ERRORS);
+            case NODE_LOST_ANSWERS -> fault(t, from, to, NodeFault.Kind.LOSE_ANSWERS);
+            case NODE_CUT -> fault(t, from, to, NodeFault.Kind.CUT_AFTER);
+            case NODE_HALF_OPEN -> fault(t, from, to, NodeFault.Kind.HALF_OPEN);
+            case NODE_REFUSE -> fault(t, from, to, NodeFault.Kind.REFUSE);
+            case NODE_CORRUPT -> fault(t, from, to, NodeFault.Kind.CORRUPT);
+            case LIST_LAG -> {
+                at(from, () -> list.tell(new ListMachine.Order.Lag((long) (t.amount() * 1e6))));
+                at(to, () -> list.tell(new ListMachine.Order.Lag(day.listLag())));
+            }
+            case LIST_FAIL -> {
+                at(from, () -> list.tell(new ListMachine.Order.FailCalls(true)));
+                at(to, () -> list.tell(new ListMachine.Order.FailCalls(false)));
+            }
+            case LIST_SILENT -> {
+                at(from, () -> list.tell(new ListMachine.Order.Silence(true)));
+                at(to, () -> list.tell(new ListMachine.Order.Silence(false)));
+            }
+            case LIST_CRASH -> {
+                at(from, () -> list.kill());
+                // It comes back knowing nothing; nodes register with it anew.
+                at(to, () -> startList(List.of()));
+            }
+            case HEAD_CRASH -> t.heads().forEach(h -> {
+                at(from, () -> heads.get(h).actor.kill());
+                at(to, () -> heads.get(h).start());
+            });
+            case HEAD_STALL -> t.heads().forEach(h -> at(from, () -> heads.get(h).actor.stall(t.length())));
+            case SURGE -> t.loads().forEach(l -> {
+                at(from, () -> clients.get(l).tell(new ClientMachine.Surge(t.amount())));
+                at(to, () -> clients.get(l).tell(new ClientMachine.Surge(1)));
+            });
+        }
+    }
+
+    private void eachNode(Trouble t, java.util.function.Consumer<NodeSite> what) {
+        t.nodes().forEach(name -> what.accept(nodes.get(name)));
+    }
+
+    private void fault(Trouble t, long from, long to, NodeFault.Kind kind) {
+        eachNode(t, n -> {
+            at(from, () -> n.actor.tell(new NodeFault(kind, t.amount() == 0 ? 1 : t.amount())));
+            at(to, () -> n.actor.tell(new NodeFault(kind, 0)));
+        });
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/garnetreel/standin/day/Stage.java
@@ -0,0 +1,39 @@
+package garnetreel.standin.day;
+
+import garnetreel.core.io.Machine;
+import garnetreel.core.io.NetEvent;
+
+/** Where a day is played: on sockets and the host's clock, or on an emulated network and a virtual one. */
+public interface Stage {
+    /** Microseconds of the epoch. */
+    long now();
+
+    /** Runs a machine, and gives it its first turn. */
+    Actor launch(String name, Machine machine, Keeper keeper);
+
+    /** Returns at a time, when all that was to happen before it has. */
+    void advance(long until);
+
+    /** Keeps what a machine wants kept. */
+    @FunctionalInterface
+    interface Keeper {
+        /** Keeps nothing. */
+        Keeper NONE = (name, data) -> { };
+
+        void keep(String name, byte[] data);
+    }
+
+    /** A machine that runs. */
+    interface Actor {
+        /** The address of a listener. */
+        String address(String listener);
+
+        void tell(NetEvent.Order order);
+
+        /** No turn for so long, as of a process that was stopped. */
+        void stall(long micros);
+
+        /** Ends it as a killed process ends. */
+        void kill();
+    }
+}
--- a/standin/src/main/java/garnetreel/standin/list/ListMachine.java
+++ b/standin/src/main/java/garnetreel/standin/list/ListMachine.java
@@ -37,6 +37,9 @@
     /** Between signs of life to subscribers. */
     private static final long SIGN_OF_LIFE = 1_000_000;
 
+    /** A list that starts with nothing first lets nodes register, and fails calls meanwhile. */
+    private static final long LEARNING = 1_000_000;
+
     /** Orders to the list. */
     public sealed interface Order extends NetEvent.Order {
         /** From now on changes show so many microseconds late. */
@@ -82,6 +85,7 @@
     private long lag;
     private long version = 1;
     private long signAt;
+    private long learnsUntil;
     private boolean begun;
     private boolean failing;
     private boolean silent;
@@ -102,6 +106,7 @@
         if (!begun) {
             begun = true;
             signAt = now + SIGN_OF_LIFE;
+            learnsUntil = entries.isEmpty() ? now + LEARNING : 0;
             actions.add(new NetAction.Listen(LISTENER, listen));
         }
         for (NetEvent event : events) {
@@ -141,7 +146,7 @@
                     subscribe(peer, subscribe);
                 } else if (message instanceof Fetch fetch) {
                     peer.name = Integer.toString(fetch.head());
-                    if (failing) {
+                    if (failing || now < learnsUntil) {
                         write(peer, new Failed("the list is overloaded"));
                     } else {
                         write(peer, all());
@@ -159,7 +164,7 @@
 
     private void subscribe(Peer peer, Subscribe subscribe) {
         peer.name = Integer.toString(subscribe.head());
-        if (failing) {
+        if (failing || now < learnsUntil) {
             write(peer, new Failed("the list is overloaded"));
             return;
         }
--- a/standin/src/main/java/garnetreel/standin/node/NodeMachine.java
+++ b/standin/src/main/java/garnetreel/standin/node/NodeMachine.java
@@ -12,6 +12,7 @@
 import garnetreel.codec.node.NodeMessage.Probed;
 import garnetreel.codec.node.NodeMessage.Request;
 import garnetreel.codec.node.NodeMessage.Result;
+import garnetreel.codec.node.NodeMessage.Welcome;
 import garnetreel.codec.nodelist.ListCodec;
 import garnetreel.codec.nodelist.ListMessage;
 import garnetreel.codec.nodelist.ListMessage.Entry;
@@ -49,6 +50,9 @@
     /** Name of the one value of its load report. */
     private static final String IN_FLIGHT = "outstanding";
 
+    /** Tells a node that runs where the node list is. */
+    public record ListAt(String address) implements NetEvent.Order { }
+
     /** A connection of a head. */
     private static final class Peer {
         final long conn;
@@ -67,13 +71,11 @@
     private static final class Job {
         final Peer peer;
         final Request request;
-        final long until;
         boolean gone;
 
-        Job(Peer peer, Request request, long until) {
+        Job(Peer peer, Request request) {
             this.peer = peer;
             this.request = request;
-            this.until = until;
         }
     }
 
@@ -108,6 +110,7 @@
     private long drainAt = Long.MAX_VALUE;
     private boolean draining;
     private String address = "";
+    private String list;
     private long listConn;
     private boolean listOpen;
     private long listAgainAt;
@@ -115,10 +118,11 @@
 
     /**
      * @param disk what earlier lives of this node left; a crash has been told to it
-     * @param life differs at each start
+     * @param life differs between lives over which what was answered and not flushed is lost
      */
     public NodeMachine(NodeSettings settings, Disk disk, Trace trace, long seed, long life) {
         this.settings = settings;
+        this.list = settings.list();
         this.disk = disk;
         this.trace = trace;
         this.random = new SplittableRandom(seed);
@@ -144,8 +148,6 @@
         startedAt = now;
         flushAt = now + settings.flushEvery();
         schedulePause();
-        trace.add(TraceEvent.state(now, settings.name(), "", Kind.START, Long.toString(life), settings.shard(),
-                settings.startedLongAgo() ? "warm" : "cold"));
         actions.add(new NetAction.Listen(LISTENER, settings.listen()));
     }
 
@@ -175,7 +177,13 @@
             listOpen = true;
             tellList();
         } else if (event instanceof NetEvent.Listening listening) {
+            if (address.isEmpty()) {
+                trace.add(TraceEvent.state(now, settings.name(), "", Kind.START, listening.address(),
+                        settings.shard(), settings.startedLongAgo() ? "warm" : "cold"));
+            }
             address = listening.address();
+        } else if (event instanceof NetEvent.Told told && told.order() instanceof ListAt at) {
+            list = at.address();
         } else if (event instanceof NetEvent.Told told && told.order() instanceof NodeFault fault) {
             order(fault);
         }
@@ -188,6 +196,8 @@
         } else {
             faults.put(fault.kind(), fault.amount());
         }
+        trace.add(TraceEvent.state(now, settings.name(), "", Kind.FAULT, fault.kind().name().toLowerCase(Locale.ROOT),
+                settings.shard(), off ? "off" : "on"));
         switch (fault.kind()) {
             case HALF_OPEN -> peers.values().forEach(p -> actions.add(new NetAction.Reading(p.conn, off)));
             case REFUSE -> {
@@ -219,9 +229,9 @@
     // ---------------------------------------------------------------- the list
 
     private void register() {
-        if (!settings.list().isEmpty() && listConn == 0 && !address.isEmpty() && !fallen && now >= listAgainAt) {
+        if (!list.isEmpty() && listConn == 0 && !address.isEmpty() && !fallen && now >= listAgainAt) {
             listConn = -++numbers;
-            actions.add(new NetAction.Connect(listConn, settings.list()));
+            actions.add(new NetAction.Connect(listConn, list));
         }
     }
 
@@ -243,6 +253,9 @@
                 if (message instanceof Hello hello) {
                     peer.head = hello.head();
                     peer.incarnation = hello.incarnation();
+                    if (!mute()) {
+                        write(peer, new Welcome(life, now));
+                    }
                 } else if (message instanceof Request request) {
                     arrived(peer, request);
                 } else if (message instanceof Cancel cancel) {
@@ -261,7 +274,7 @@
     }
 
     private void arrived(Peer peer, Request request) {
-        trace(Kind.ARRIVE, peer, request, "");
+        trace(Kind.ARRIVE, peer, request, now >= request.deadline() ? "expired" : "");
         pressed(request.units());
         if (fallen) {
             return;
@@ -273,7 +286,7 @@
         } else if (queue.size() >= settings.queue() || now >= drainAt) {
             answer(peer, request, Result.FULL, NodeMessage.none());
         } else {
-            queue.add(new Job(peer, request, now + request.ttl()));
+            queue.add(new Job(peer, request));
         }
     }
 
@@ -352,7 +365,7 @@
         }
         while (!fallen && now >= pausedUntil && busy < settings.cores() && !queue.isEmpty()) {
             Job job = queue.poll();
-            if (now >= job.until) {
+            if (now >= job.request.deadline()) {
                 continue; // whoever asked has given up, and may have written something newer
             }
             long time = time(job.request);
@@ -388,7 +401,7 @@
                 if (request.dropsRepeats()) {
                     disk.done(done, now);
                 }
-                if (request.sync() || request.op() == Op.FLUSH) {
+                if (request.sync() || request.op() == Op.FLUSH || settings.journal()) {
                     disk.flush(now - settings.repeatWindow());
                 }
                 trace(Kind.RUN, job.peer, request, "");
@@ -427,8 +440,7 @@
     // ---------------------------------------------------------------- answers
 
     private void answer(Peer peer, Request request, Result result, ByteBuffer data) {
-        if (faults.containsKey(NodeFault.Kind.SILENCE) || faults.containsKey(NodeFault.Kind.HALF_OPEN)
-                || chance(NodeFault.Kind.LOSE_ANSWERS)) {
+        if (mute() || chance(NodeFault.Kind.LOSE_ANSWERS)) {
             return;
         }
         trace(Kind.ANSWER, peer, request, result.name().toLowerCase(Locale.ROOT));
@@ -436,6 +448,10 @@
                 result == Result.OK ? fromOthers(peer, request) : 0, life, load(), data));
     }
 
+    private boolean mute() {
+        return faults.containsKey(NodeFault.Kind.SILENCE) || faults.containsKey(NodeFault.Kind.HALF_OPEN);
+    }
+
     /** Units served for the volume through other heads since the last answer to this one about it. */
     private int fromOthers(Peer peer, Request request) {
         long all = servedOf.merge(request.volume(), (long) request.units(), Long::sum);
@@ -488,7 +504,7 @@
         if (disk.unflushed() > 0 || deferred > 0) {
             next = Math.min(next, flushAt);
         }
-        if (!settings.list().isEmpty() && listConn == 0 && !fallen) {
+        if (!list.isEmpty() && listConn == 0 && !fallen) {
             next = Math.min(next, Math.max(now + 1, listAgainAt));
         }
         return Math.min(next, pauseAt);
--- /dev/null
+++ b/standin/src/main/java/garnetreel/standin/rules/RulesChecker.java
@@ -0,0 +1,446 @@
+package garnetreel.standin.rules;
+
+import garnetreel.policy.Scheduler.Effect;
+import garnetreel.policy.Scheduler.Group;
+import garnetreel.policy.Scheduler.Plan;
+import garnetreel.policy.Scheduler.RequestClass;
+import garnetreel.standin.trace.TraceEvent;
+import garnetreel.standin.trace.TraceEvent.Kind;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Judges a run by the traces of its stand-ins alone: nothing a head says of itself counts. Where what was seen on
+ * sockets leaves a rule undecided, the run is given the benefit of the doubt; each such place is marked.
+ */
+public final class RulesChecker {
+    private static final int SHOWN = 5;
+    private static final List<String> NAMES = List.of("one answer", "no effect twice", "drains kept",
+            "no cold node pushed over", "order kept", "budget kept", "limits kept", "reads true");
+
+    /** A request of a head, as nodes see it. */
+    private record Seen(String head, long life, long request) { }
+
+    private record KeyOf(String head, long life, long key) { }
+
+    private record HeadNode(String head, String address) { }
+
+    private record HeadLife(String head, long life) { }
+
+    /** A time during which a stand-in did not read: what came then is seen when it ends. */
+    private record Deaf(String node, long from, long to) { }
+
+    private static final class Count {
+        long checked;
+        long breaches;
+        final List<String> broken = new ArrayList<>();
+
+        void breach(String text) {
+            breaches++;
+            if (broken.size() < SHOWN) {
+                broken.add(text);
+            }
+        }
+    }
+
+    private final RuleSettings settings;
+    private final List<TraceEvent> events;
+    private final Count[] counts = new Count[NAMES.size()];
+    private final List<Deaf> deaf = new ArrayList<>();
+
+    private RulesChecker(RuleSettings settings, List<TraceEvent> events) {
+        this.settings = settings;
+        this.events = new ArrayList<>(events);
+        this.events.sort(Comparator.comparingLong(TraceEvent::time));
+        for (int i = 0; i < counts.length; i++) {
+            counts[i] = new Count();
+        }
+    }
+
+    /** The verdicts on the seven rules, and as an eighth whether each read showed what was acknowledged. */
+    public static List<Verdict> judge(RuleSettings settings, List<TraceEvent> events) {
+        RulesChecker checker = new RulesChecker(settings, events);
+        checker.findDeaf();
+        checker.oneAnswer();
+        checker.noEffectTwice();
+        checker.drains();
+        checker.cold();
+        checker.order();
+        checker.budget();
+        checker.limits();
+        checker.reads();
+        List<Verdict> verdicts = new ArrayList<>();
+        for (int i = 0; i < NAMES.size(); i++) {
+            Count count = checker.counts[i];
+            verdicts.add(new Verdict(i + 1, NAMES.get(i), count.checked, count.breaches, count.broken));
+        }
+        return verdicts;
+    }
+
+    private void findDeaf() {
+        Map<String, Long> since = new HashMap<>();
+        long end = events.isEmpty() ? 0 : events.get(events.size() - 1).time();
+        for (TraceEvent e : events) {
+            if (e.kind() == Kind.FAULT && e.op().equals("half_open")) {
+                if (e.outcome().equals("on")) {
+                    since.putIfAbsent(e.who(), e.time());
+                } else if (since.containsKey(e.who())) {
+                    deaf.add(new Deaf(e.who(), since.remove(e.who()), e.time() + settings.transit()));
+                }
+            }
+        }
+        since.forEach((who, from) -> deaf.add(new Deaf(who, from, end)));
+    }
+
+    /** The earliest time at which what was seen may have been sent, but for the usual transit. */
+    private long sentFrom(TraceEvent arrival) {
+        long from = arrival.time();
+        for (Deaf d : deaf) {
+            if (d.node().equals(arrival.who()) && from >= d.from() && arrival.time() <= d.to()) {
+                from = d.from();
+            }
+        }
+        return from;
+    }
+
+    // ---------------------------------------------------------------- 1: exactly one answer, nothing after it
+
+    private void oneAnswer() {
+        Count count = counts[0];
+        Map<Long, TraceEvent> asked = new HashMap<>();
+        Map<Long, TraceEvent> ended = new HashMap<>();
+        for (TraceEvent e : events) {
+            switch (e.kind()) {
+                case ASK -> {
+                    count.checked++;
+                    asked.put(e.tag(), e);
+                }
+                case REPLY -> {
+                    TraceEvent first = ended.putIfAbsent(e.tag(), e);
+                    if (!asked.containsKey(e.tag())) {
+                        count.breach("a reply to " + name(e.tag()) + ", which was not asked");
+                    } else if (first != null) {
+                        count.breach(name(e.tag()) + " got a reply after it was over (" + first.kind() + ")");
+                    }
+                }
+                case GIVE_UP -> {
+                    if (ended.putIfAbsent(e.tag(), e) == null) {
+                        count.breach(name(e.tag()) + " (" + e.op() + " of " + e.who() + " at head " + e.peer()
+                                + ") got no answer before its client gave up");
+                    }
+                }
+                case LEAVE -> ended.putIfAbsent(e.tag(), e);
+                default -> { }
+            }
+        }
+        asked.forEach((tag, e) -> {
+            if (!ended.containsKey(tag)) {
+                count.breach(name(tag) + " (" + e.op() + " of " + e.who() + ") got no answer by the end");
+            }
+        });
+        for (TraceEvent e : events) {
+            // Doubt: what had run out when it came was sent in time and came late.
+            if (e.kind() == Kind.ARRIVE && !e.outcome().equals("expired")) {
+                TraceEvent end = ended.get(e.tag());
+                if (end != null && sentFrom(e) > end.time() + settings.transit()) {
+                    count.breach(name(e.tag()) + " was sent to " + e.who() + " "
+                            + (e.time() - end.time()) + " us after it was over (" + end.kind() + ")");
+                }
+            }
+        }
+    }
+
+    private static String name(long tag) {
+        return "request " + (tag >>> 32) + "/" + (tag & 0xffffffffL);
+    }
+
+    // ---------------------------------------------------------------- 2: no effect twice
+
+    private void noEffectTwice() {
+        Count count = counts[1];
+        Map<Seen, List<TraceEvent>> ran = new HashMap<>();
+        Map<Long, TraceEvent> ranTag = new HashMap<>();
+        Map<String, Integer> lives = new HashMap<>();
+        Map<Seen, Integer> ranIn = new HashMap<>();
+        Map<Seen, TraceEvent> firstSent = new HashMap<>();
+        Set<String> proven = new HashSet<>();
+        for (TraceEvent e : events) {
+            if (e.kind() == Kind.START) {
+                lives.merge(e.who(), 1, Integer::sum);
+            } else if (e.kind() == Kind.ANSWER && (e.outcome().equals("full") || e.outcome().equals("moot"))) {
+                proven.add(attempt(e));
+            }
+        }
+        lives.clear();
+        for (TraceEvent e : events) {
+            if (e.kind() == Kind.START) {
+                lives.merge(e.who(), 1, Integer::sum);
+            }
+            if (!RuleSettings.changes(e.op()) || e.kind() != Kind.RUN && e.kind() != Kind.ARRIVE) {
+                continue;
+            }
+            RequestClass kind = settings.kind(e.volume(), e.op());
+            Seen seen = new Seen(e.peer(), e.life(), e.request());
+            if (kind == null || kind.effect() == Effect.REPEATABLE) {
+                continue;
+            }
+            if (e.kind() == Kind.RUN) {
+                count.checked++;
+                ranTag.putIfAbsent(e.tag(), e);
+                List<TraceEvent> before = ran.computeIfAbsent(seen, any -> new ArrayList<>(1));
+                // A node that lost a keyed write in a crash may run its repeat: the first left no effect.
+                boolean lost = kind.effect() == Effect.KEYED && !before.isEmpty()
+                        && !ranIn.get(seen).equals(lives.get(e.who()));
+                if (!before.isEmpty() && !lost) {
+                    count.breach(e.op() + " of " + name(e.tag()) + " at " + e.offset() + " ran twice at " + e.who());
+                }
+                before.add(e);
+                ranIn.put(seen, lives.getOrDefault(e.who(), 0));
+            } else if (!proven.contains(attempt(e))) {
+                TraceEvent first = firstSent.putIfAbsent(seen, e);
+                if (first != null && kind.effect() == Effect.ONCE) {
+                    count.breach(e.op() + " of " + name(e.tag()) + " was sent again to " + e.who()
+                            + " though attempt " + first.attempt() + " may have run");
+                } else if (first != null && sentFrom(e) > first.time() + kind.window() + settings.transit()) {
+                    count.breach(e.op() + " of " + name(e.tag()) + " was sent again to " + e.who() + " "
+                            + (e.time() - first.time()) + " us after the first, past what nodes remember");
+                }
+            }
+        }
+        for (TraceEvent e : events) {
+            if (e.kind() == Kind.REPLY && e.outcome().equals("refused") && RuleSettings.changes(e.op())) {
+                RequestClass kind = settings.kind(e.volume(), e.op());
+                TraceEvent run = ranTag.get(e.tag());
+                if (run != null && kind != null && (kind.effect() == Effect.ONCE
+                        || kind.effect() == Effect.KEYED && kind.group() != Group.ALL)) {
+                    count.breach(name(e.tag()) + " was refused, and ran at " + run.who());
+                }
+            }
+        }
+    }
+
+    private static String attempt(TraceEvent e) {
+        return e.peer() + "/" + e.life() + "/" + e.request() + "/" + e.attempt();
+    }
+
+    // ---------------------------------------------------------------- 3: drains
+
+    private void drains() {
+        Count count = counts[2];
+        Map<String, String> addresses = new HashMap<>();
+        Map<HeadNode, Long> toldDown = new HashMap<>();
+        long grace = settings.rules().stopSendingWithin() + settings.transit();
+        for (TraceEvent e : events) {
+            if (e.kind() == Kind.START) {
+                addresses.put(e.who(), e.op());
+            } else if (e.kind() == Kind.TOLD) {
+                HeadNode pair = new HeadNode(e.peer(), e.op());
+                if (e.outcome().equals("up")) {
+                    toldDown.remove(pair);
+                } else {
+                    toldDown.putIfAbsent(pair, e.time());
+                    count.checked++;
+                }
+            } else if (e.kind() == Kind.ARRIVE) {
+                Long told = toldDown.get(new HeadNode(e.peer(), addresses.getOrDefault(e.who(), "")));
+                if (told != null && sentFrom(e) > told + grace) {
+                    count.breach("head " + e.peer() + " sent " + name(e.tag()) + " to " + e.who() + " "
+                            + (e.time() - told) + " us after it was told that it drains or is gone");
+                }
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- 4: cold nodes
+
+    private void cold() {
+        Count count = counts[3];
+        Map<String, TraceEvent> started = new HashMap<>();
+        Map<HeadNode, Long> toldUp = new HashMap<>();
+        Map<String, ArrayDeque<TraceEvent>> arrivals = new HashMap<>();
+        long fall = settings.rules().fall();
+        for (TraceEvent e : events) {
+            switch (e.kind()) {
+                case START -> {
+                    count.checked += e.outcome().equals("cold") ? 1 : 0;
+                    started.put(e.who(), e);
+                    arrivals.remove(e.who());
+                }
+                case TOLD -> {
+                    if (e.outcome().equals("up")) {
+                        toldUp.put(new HeadNode(e.peer(), e.op()), e.time());
+                    }
+                }
+                case ARRIVE -> {
+                    ArrayDeque<TraceEvent> recent = arrivals.computeIfAbsent(e.who(), any -> new ArrayDeque<>());
+                    recent.add(e);
+                    while (recent.peek().time() < e.time() - fall) {
+                        recent.poll();
+                    }
+                }
+                case FELL -> {
+                    TraceEvent start = started.get(e.who());
+                    long all = 0;
+                    long told = 0;
+                    for (TraceEvent a : arrivals.getOrDefault(e.who(), new ArrayDeque<>())) {
+                        Long at = start == null ? null : toldUp.get(new HeadNode(a.peer(), start.op()));
+                        all += a.units();
+                        told += at != null && at >= start.time() && a.time() >= at ? a.units() : 0;
+                    }
+                    // Doubt: heads that were not told of the start can't know that the node is cold.
+                    if (3 * told >= 2 * all) {
+                        count.breach(e.who() + " fell over: " + e.outcome() + "; " + told + " of " + all
+                                + " units came from heads told of its start");
+                    }
+                }
+                default -> { }
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- 5: order of a key
+
+    private static final class Line {
+        /** Attempts that may still run: by request, when each came and until when it occupies the key. */
+        final Map<Long, Long> busyUntil = new HashMap<>();
+        long highest = Long.MIN_VALUE;
+    }
+
+    private void order() {
+        Count count = counts[4];
+        Map<KeyOf, Line> lines = new HashMap<>();
+        for (TraceEvent e : events) {
+            if (e.kind() != Kind.ARRIVE && e.kind() != Kind.ANSWER || e.key() < 0) {
+                continue;
+            }
+            RequestClass kind = settings.kind(e.volume(), e.op());
+            if (kind == null || !kind.inOrder()) {
+                continue;
+            }
+            Line line = lines.computeIfAbsent(new KeyOf(e.peer(), e.life(), e.key()), any -> new Line());
+            if (e.kind() == Kind.ANSWER) {
+                line.busyUntil.remove(e.request());
+                continue;
+            }
+            count.checked++;
+            long sent = sentFrom(e);
+            if (e.request() < line.highest && !line.busyUntil.containsKey(e.request())
+                    && e.attempt() == 0) {
+                count.breach("key " + e.key() + " at head " + e.peer() + ": request " + e.request()
+                        + " was sent after request " + line.highest + ", which came later");
+            }
+            line.highest = Math.max(line.highest, e.request());
+            line.busyUntil.forEach((request, until) -> {
+                // Doubt: an attempt without an answer may have ended by its connection's end at any moment; the rest
+                // after it is all that can be asked for.
+                if (request != e.request() && sent + settings.transit() < until) {
+                    count.breach("key " + e.key() + " at head " + e.peer() + ": request " + e.request()
+                            + " was sent " + (until - e.time()) + " us before the key could be free of request "
+                            + request);
+                }
+            });
+            line.busyUntil.put(e.request(), e.time() + settings.rules().keyQuiet());
+        }
+    }
+
+    // ---------------------------------------------------------------- 6: budget of further attempts
+
+    private void budget() {
+        Count count = counts[5];
+        long window = settings.rules().extraWindow();
+        if (window <= 0) {
+            return;
+        }
+        Map<HeadLife, ArrayDeque<Long>> extras = new HashMap<>();
+        Map<HeadLife, TreeMap<Long, Long>> highest = new HashMap<>();
+        for (TraceEvent e : events) {
+            if (e.kind() != Kind.ARRIVE) {
+                continue;
+            }
+            HeadLife head = new HeadLife(e.peer(), e.life());
+            // Ids count up within a life of a head: the highest seen tells how many requests were taken.
+            TreeMap<Long, Long> ids = highest.computeIfAbsent(head, any -> new TreeMap<>());
+            long before = ids.isEmpty() ? 0 : ids.lastEntry().getValue();
+            ids.put(e.time(), Math.max(before, e.request()));
+            if (e.attempt() == 0) {
+                continue;
+            }
+            count.checked++;
+            ArrayDeque<Long> recent = extras.computeIfAbsent(head, any -> new ArrayDeque<>());
+            recent.add(sentFrom(e));
+            while (recent.peek() < e.time() - window) {
+                recent.poll();
+            }
+            Map.Entry<Long, Long> old = ids.floorEntry(e.time() - window - settings.transit());
+            long taken = ids.lastEntry().getValue() - (old == null ? 0 : old.getValue());
+            double most = settings.rules().freeExtras() + settings.rules().extraRatio() * taken;
+            if (recent.size() > most) {
+                count.breach("head " + e.peer() + " made " + recent.size() + " further attempts within the window; "
+                        + most + " are allowed for " + taken + " requests");
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- 7: limits
+
+    private static final class Store {
+        double level;
+        long at;
+
+        Store(double level, long at) {
+            this.level = level;
+            this.at = at;
+        }
+    }
+
+    private record Draw(long at, TraceEvent event) { }
+
+    private void limits() {
+        Count count = counts[6];
+        Set<Seen> drawn = new HashSet<>();
+        List<Draw> draws = new ArrayList<>();
+        for (TraceEvent e : events) {
+            Plan plan = e.kind() == Kind.ARRIVE ? settings.plan(e.volume()) : null;
+            if (plan != null && plan.limit() > 0 && drawn.add(new Seen(e.peer(), e.life(), e.request()))) {
+                draws.add(new Draw(sentFrom(e), e));
+            }
+        }
+        draws.sort(Comparator.comparingLong(Draw::at));
+        Map<Long, Store> stores = new HashMap<>();
+        for (Draw draw : draws) {
+            TraceEvent e = draw.event();
+            Plan plan = settings.plan(e.volume());
+            Store store = stores.computeIfAbsent(e.volume(), any -> new Store(plan.burst(), draw.at()));
+            store.level = Math.min(plan.burst(), store.level + plan.limit() * (draw.at() - store.at) / 1e6);
+            store.at = draw.at();
+            store.level -= e.units();
+            count.checked++;
+            double slack = plan.slack() + plan.limit() * settings.transit() / 1e6;
+            if (store.level < -slack) {
+                count.breach("volume " + e.volume() + " is " + (long) -store.level + " units past its limit; "
+                        + (long) slack + " are allowed");
+                store.level = -slack; // counted once, not for all that follows
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- what clients read
+
+    private void reads() {
+        for (TraceEvent e : events) {
+            if (e.kind() == Kind.REPLY && e.op().equals("read") && !e.outcome().equals("refused")
+                    && !e.outcome().equals("failed")) {
+                counts[7].checked++;
+            } else if (e.kind() == Kind.MISREAD) {
+                counts[7].breach(e.who() + ": " + e.outcome());
+            }
+        }
+    }
+}
--- a/standin/src/main/java/garnetreel/standin/trace/TraceEvent.java
+++ b/standin/src/main/java/garnetreel/standin/trace/TraceEvent.java
@@ -25,8 +25,10 @@
         MISREAD,
         /** A node got an attempt, changed its data or read them, dropped a repeat, or answered. */
         ARRIVE, RUN, REPEAT, ANSWER,
-        /** A node started, or fell over under what it was sent while cold. */
+        /** A node started, at the address in {@code op}, or fell over under what it was sent while cold. */
         START, FELL,
+        /** A stand-in was made to misbehave, or no longer. */
+        FAULT,
         /** The list told a head of a node's state: {@code outcome} has it, {@code op} the node's address. */
         TOLD
     }
