Hard cases over sockets, parser and settings tests, and a bench against the front over memory

Need: each hard case of the NBD path must be caused, over sockets; what the head costs must be known.

--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/LocalService.java
@@ -0,0 +1,76 @@
+package garnetreel.cli;
+
+import garnetreel.cli.config.HclFile;
+import garnetreel.cli.config.Settings;
+import garnetreel.cli.config.SettingsException;
+import garnetreel.codec.nodelist.ListMessage.Entry;
+import garnetreel.codec.nodelist.ListMessage.State;
+import garnetreel.core.HeadSettings;
+import garnetreel.net.Driver;
+import garnetreel.standin.list.ListMachine;
+import garnetreel.standin.node.Disk;
+import garnetreel.standin.node.NodeMachine;
+import garnetreel.standin.node.NodeSettings;
+import garnetreel.standin.trace.Trace;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Stand-in nodes that cost nothing and a list in this process, with the settings embedded in the program. */
+final class LocalService {
+    private static final int NODES = 4;
+
+    private final Process process;
+    private final Settings settings;
+    private final String list;
+
+    private LocalService(Process process, Settings settings, String list) {
+        this.process = process;
+        this.settings = settings;
+        this.list = list;
+    }
+
+    /** @param exports names and sizes, both checked */
+    static LocalService start(Process process, Map<String, String> exports) throws IOException, SettingsException {
+        List<Entry> entries = new ArrayList<>();
+        for (int shard = 0; shard < NODES; shard++) {
+            NodeSettings node = NodeSettings.free("node-" + shard, "127.0.0.1:0", "", shard);
+            Driver driver = process.run(node.name(), new NodeMachine(node, new Disk(), Trace.NONE, shard, 1));
+            entries.add(new Entry(Process.bound(driver, "node"), node.zone(), shard, State.UP, 1, 0));
+        }
+        Driver list = process.run("list", new ListMachine("list", "127.0.0.1:0", entries, 0, Trace.NONE));
+        Settings settings = Settings.of(HclFile.parse("dev.hcl", embedded() + volumes(exports)));
+        return new LocalService(process, settings, Process.bound(list, "list"));
+    }
+
+    /** What the one head is told. */
+    HeadSettings head(String listen) {
+        return settings.head(0, process.clock.micros(), listen, list);
+    }
+
+    long longestDeadline() {
+        return settings.longestDeadline();
+    }
+
+    private static String embedded() throws IOException {
+        try (InputStream in = LocalService.class.getResourceAsStream("/garnetreel/cli/dev.hcl")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private static String volumes(Map<String, String> exports) {
+        StringBuilder text = new StringBuilder();
+        int id = 0;
+        for (Map.Entry<String, String> export : exports.entrySet()) {
+            text.append("volume \"").append(export.getKey()).append("\" {\n  id = ").append(++id)
+                    .append("\n  size = \"").append(export.getValue()).append("\"\n  plan = \"open\"\n")
+                    .append("  read_class = \"read\"\n  write_class = \"write\"\n  flush_class = \"flush\"\n")
+                    .append("  description = \"").append(export.getKey()).append(", held in memory\"\n")
+                    .append("  shards = [0, 1, 2, 3]\n  extent = \"1MiB\"\n}\n");
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/garnetreel/cli/Rig.java
@@ -0,0 +1,229 @@
+package garnetreel.cli;
+
+import garnetreel.cli.config.HclFile;
+import garnetreel.cli.config.Settings;
+import garnetreel.codec.nodelist.ListMessage.Entry;
+import garnetreel.codec.nodelist.ListMessage.State;
+import garnetreel.core.Head;
+import garnetreel.core.HeadSettings;
+import garnetreel.net.Driver;
+import garnetreel.net.Workers;
+import garnetreel.net.Clock;
+import garnetreel.policy.Control;
+import garnetreel.standin.list.ListMachine;
+import garnetreel.standin.node.Disk;
+import garnetreel.standin.node.NodeFault;
+import garnetreel.standin.node.NodeMachine;
+import garnetreel.standin.node.NodeSettings;
+import garnetreel.standin.rules.RuleSettings;
+import garnetreel.standin.rules.RulesChecker;
+import garnetreel.standin.rules.Verdict;
+import garnetreel.standin.trace.TraceEvent;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.xnio.XnioWorker;
+
+/** Heads, nodes and a list on sockets, for tests: what passes is seen, and faults are set. */
+final class Rig implements AutoCloseable {
+    private static final long TRANSIT = 500_000;
+
+    private final XnioWorker worker = Workers.create("rig", 2);
+    private final Clock clock = Clock.system();
+    private final List<TraceEvent> seen = new ArrayList<>();
+    private final Settings settings;
+    private final List<Driver> nodes = new ArrayList<>();
+    private final List<NodeSettings> nodeSettings = new ArrayList<>();
+    private final List<Disk> disks = new ArrayList<>();
+    private final List<Driver> headDrivers = new ArrayList<>();
+    private final List<Head> heads = new ArrayList<>();
+    private final List<String> addresses = new ArrayList<>();
+    private final Driver list;
+    private final String listAddress;
+    private long lives = 1;
+
+    Rig(int shards, String more) throws Exception {
+        this(shards, more, "20s");
+    }
+
+    Rig(int shards, String more, String deadline) throws Exception {
+        this(shards, more, deadline, "keyed");
+    }
+
+    Rig(int shards, String more, String deadline, String effect) throws Exception {
+        this(1, shards, deadline, effect, "  rate = 100000\n  weight = 1\n", more);
+    }
+
+    /** Heads that share one limit. */
+    static Rig limited(int heads, int limit, int burst, int slack) throws Exception {
+        return new Rig(heads, 1, "400ms", "keyed", "  rate = 10\n  weight = 1\n  limit = " + limit + "\n  burst = "
+                + burst + "\n  slack = " + slack + "\n", "");
+    }
+
+    private Rig(int headCount, int shards, String deadline, String effect, String plan, String more)
+            throws Exception {
+        StringBuilder shardList = new StringBuilder("0");
+        for (int i = 1; i < shards; i++) {
+            shardList.append(", ").append(i);
+        }
+        settings = Settings.of(HclFile.parse("rig.hcl", """
+                service {
+                  heads = %d
+                }
+                class "read" {
+                  aim = "%s"
+                  deadline = "%s"
+                  effect = "repeatable"
+                }
+                class "write" {
+                  aim = "%s"
+                  deadline = "%s"
+                  effect = "%s"
+                  window = "5s"
+                  writes = true
+                }
+                plan "open" {
+                %s}
+                volume "v" {
+                  id = 1
+                  size = "16MiB"
+                  plan = "open"
+                  read_class = "read"
+                  write_class = "write"
+                  flush_class = "read"
+                  shards = [%s]
+                  extent = "1MiB"
+                }
+                %s""".formatted(headCount, deadline, deadline, deadline, deadline, effect, plan, shardList, more)));
+        List<Entry> entries = new ArrayList<>();
+        for (int shard = 0; shard < shards; shard++) {
+            NodeSettings node = settings.nodes().getOrDefault("n" + shard,
+                    NodeSettings.free("n" + shard, "127.0.0.1:0", "", shard));
+            Disk disk = new Disk();
+            Driver driver = run(node.name(), new NodeMachine(node, disk, this::see, shard, lives));
+            String address = Process.bound(driver, "node");
+            nodes.add(driver);
+            disks.add(disk);
+            nodeSettings.add(node.withListen(address));
+            entries.add(new Entry(address, "zone-a", shard, State.UP, 1, 0));
+        }
+        list = run("list", new ListMachine("list", "127.0.0.1:0", entries, 0, this::see));
+        listAddress = Process.bound(list, "list");
+        for (int head = 0; head < headCount; head++) {
+            headDrivers.add(null);
+            heads.add(null);
+            addresses.add("127.0.0.1:0");
+            startHead(head);
+        }
+    }
+
+    private Driver run(String name, garnetreel.core.io.Machine machine) {
+        return new Driver(name, machine, worker, clock, (state, data) -> { }).start();
+    }
+
+    private void startHead(int head) throws IOException {
+        HeadSettings told = settings.head(head, clock.micros(), addresses.get(head), listAddress);
+        heads.set(head, new Head(told, new Control(told.scheduling(), 1), null));
+        headDrivers.set(head, run("head-" + head, heads.get(head)));
+        addresses.set(head, Process.bound(headDrivers.get(head), Head.NBD));
+    }
+
+    void restartHead(int head) throws IOException {
+        headDrivers.get(head).close();
+        startHead(head);
+    }
+
+    /** Kills a node, which loses what it has not flushed, and starts it again. */
+    void restartNode(int shard) throws IOException {
+        nodes.get(shard).close();
+        disks.get(shard).crash();
+        nodes.set(shard, run("n" + shard, new NodeMachine(nodeSettings.get(shard), disks.get(shard), this::see, shard,
+                ++lives)));
+        Process.bound(nodes.get(shard), "node");
+    }
+
+    private void see(TraceEvent event) {
+        synchronized (seen) {
+            seen.add(event);
+            seen.notifyAll();
+        }
+    }
+
+    List<TraceEvent> trace() {
+        synchronized (seen) {
+            return List.copyOf(seen);
+        }
+    }
+
+    /** Waits until something has been seen. */
+    void await(Predicate<TraceEvent> what) throws InterruptedException {
+        synchronized (seen) {
+            while (seen.stream().noneMatch(what)) {
+                seen.wait();
+            }
+        }
+    }
+
+    /** Sets a fault and waits until the node has it. */
+    void fault(int shard, NodeFault.Kind kind, double amount) throws InterruptedException {
+        String name = nodeSettings.get(shard).name();
+        long before = count(name, kind, amount);
+        nodes.get(shard).tell(new NodeFault(kind, amount));
+        synchronized (seen) {
+            while (count(name, kind, amount) == before) {
+                seen.wait();
+            }
+        }
+    }
+
+    private long count(String node, NodeFault.Kind kind, double amount) {
+        return trace().stream().filter(e -> e.kind() == TraceEvent.Kind.FAULT && e.who().equals(node)
+                && e.op().equalsIgnoreCase(kind.name()) && e.outcome().equals(amount == 0 ? "off" : "on")).count();
+    }
+
+    String address() {
+        return addresses.get(0);
+    }
+
+    NbdSocket client() throws IOException {
+        return client(0);
+    }
+
+    NbdSocket client(int head) throws IOException {
+        return NbdSocket.connect(addresses.get(head), "v");
+    }
+
+    /** Waits until the head holds so many connections of clients. */
+    void awaitConnections(int count) {
+        while (heads.get(0).figures().connections() != count) {
+            Thread.onSpinWait();
+        }
+    }
+
+    long bytesHeld() {
+        return heads.get(0).figures().bytesHeld();
+    }
+
+    void drain() {
+        headDrivers.get(0).tell(new Head.Drain());
+    }
+
+    void awaitStopped() throws Exception {
+        headDrivers.get(0).stopped().get(30, TimeUnit.SECONDS);
+    }
+
+    List<Verdict> verdicts() {
+        return RulesChecker.judge(new RuleSettings(settings.rules(), settings.volumesById(), settings.classes(),
+                settings.plans(), TRANSIT), trace());
+    }
+
+    @Override
+    public void close() {
+        headDrivers.forEach(Driver::close);
+        nodes.forEach(Driver::close);
+        list.close();
+        worker.shutdownNow();
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/garnetreel/cli/config/SettingsTest.java
@@ -0,0 +1,141 @@
+package garnetreel.cli.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import garnetreel.standin.trace.TraceEvent;
+import garnetreel.standin.trace.TraceFile;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Each error names file, place, key, what was found and what was expected. */
+class SettingsTest {
+    private static final String GOOD = """
+            service {
+              heads = 2
+            }
+            class "read" {
+              aim      = "400ms"
+              deadline = "2s"
+              effect   = "repeatable"
+            }
+            plan "archive" {
+              rate   = 5
+              weight = 1
+              limit  = 19
+              burst  = 48
+            }
+            volume "births" {
+              id          = 1
+              size        = "64MiB"
+              plan        = "archive"
+              read_class  = "read"
+              write_class = "read"
+              flush_class = "read"
+              shards      = [0, 1]
+            }
+            """;
+
+    private static List<String> problems(String text) {
+        return assertThrows(SettingsException.class, () -> Settings.of(HclFile.parse("f.hcl", text))).problems();
+    }
+
+    private static void wrong(String old, String replacement, String expected) {
+        assertTrue(GOOD.contains(old));
+        List<String> problems = problems(GOOD.replace(old, replacement));
+        assertTrue(problems.stream().anyMatch(p -> p.startsWith("f.hcl:") && p.contains(expected)), expected + " in "
+                + problems);
+    }
+
+    @Test
+    void goodSettingsAreRead() throws Exception {
+        Settings settings = Settings.of(HclFile.parse("f.hcl", GOOD));
+        assertEquals(64 << 20, settings.volumes().get("births").size());
+        assertEquals(400_000, settings.classes().get("read").aim());
+        assertEquals(19, settings.scheduling(0).plans().get(0).limit());
+    }
+
+    @Test
+    void formIsChecked() {
+        wrong("heads = 2", "heads = \"two\"", "f.hcl:2:3: service heads is \"two\"; a number is expected");
+        wrong("heads = 2", "heads = 2\n  haeds = 3", "f.hcl:3:3: service haeds is not a known key here");
+        wrong("\"400ms\"", "\"400\"", "class read aim is \"400\"; a duration such as");
+        wrong("\"64MiB\"", "\"64MB\"", "volume births size is \"64MB\"; a size such as");
+        wrong("\"repeatable\"", "\"maybe\"", "class read effect is \"maybe\"; one of");
+        wrong("  id          = 1\n", "", "volume births lacks \"id\"");
+        wrong("weight = 1", "weight = 1e3", "\"1e3\" is no plain decimal number");
+    }
+
+    @Test
+    void meaningIsChecked() {
+        wrong("plan        = \"archive\"", "plan = \"gold\"", "names the plan \"gold\", and there is none");
+        wrong("flush_class = \"read\"", "flush_class = \"write\"", "names the class \"write\", and there is none");
+        wrong("aim      = \"400ms\"", "aim = \"3s\"", "at most the deadline");
+        wrong("burst  = 48", "burst = 2", "at least the largest request");
+        wrong("\"64MiB\"", "\"1000B\"", "a multiple of 4KiB is expected");
+        wrong("shards      = [0, 1]", "shards = [0]\n  hosts = 9", "the service has 2 heads");
+        wrong("\"64MiB\"", "\"999999999TiB\"", "more than can be counted");
+    }
+
+    @Test
+    void textThatWouldBeDroppedIsRefused() {
+        assertEquals(List.of("f.hcl:1:10: a value is missing"), problems("listen = \n foo { a = [1,"));
+        assertTrue(problems("").get(0).contains("the file lacks \"service\""), problems("").toString());
+        for (String bad : List.of("a = 1 b = 2", "a {", "a = [1,", "a = \"x", "}", "a = 1\na = 2", "a \"b\" c {}",
+                "a = 1 }", "a = {b = 1", "a { } b", "a = nope", "a = \"${x}\"", "/* x", "a = <<E\nE", "x = -",
+                "service { heads = 1 }\nservice { heads = 2 }", "a = [1 2]", "= 3", "\"a\" = 3")) {
+            assertTrue(problems(bad).get(0).startsWith("f.hcl:"), bad);
+        }
+    }
+
+    @Test
+    void eachTruncationIsRefusedOrReadWhole() {
+        // A file cut short must not pass as another one with less in it, unless it ends between two blocks.
+        for (int length = 0; length < GOOD.length(); length++) {
+            String cut = GOOD.substring(0, length);
+            if (!cut.isBlank() && !cut.stripTrailing().endsWith("}")) {
+                assertTrue(!problems(cut).isEmpty());
+            }
+        }
+    }
+
+    @Test
+    void daysThatComeWithTheProgramAreGood() throws Exception {
+        try (Stream<Path> days = Files.list(Path.of("../days"))) {
+            for (Path day : days.filter(d -> d.toString().endsWith(".hcl")).toList()) {
+                assertTrue(!DayFile.read(day).about().isEmpty(), day.toString());
+            }
+        }
+    }
+
+    @Test
+    void tracesKeepTheirSchema(@TempDir Path temp) throws Exception {
+        TraceEvent event = TraceEvent.client(5, "load", "0", TraceEvent.Kind.REPLY, 7, "write", 1, 4096, 512, "served");
+        Path file = temp.resolve("trace.json");
+        try (TraceFile trace = new TraceFile(file)) {
+            for (TraceEvent.Kind kind : TraceEvent.Kind.values()) {
+                trace.add(TraceEvent.state(6, "n0", "1", kind, "127.0.0.1:1", 2, "up"));
+            }
+            trace.add(event);
+        }
+        List<TraceEvent> read = TraceFile.read(file);
+        assertEquals(event, read.get(read.size() - 1));
+        var schema = JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(
+                TraceFile.class.getResourceAsStream("/garnetreel/standin/trace.schema.json"));
+        for (String line : Files.readAllLines(file)) {
+            if (!line.isBlank()) {
+                JsonNode json = new ObjectMapper().readTree(line);
+                assertEquals(0, schema.validate(json).size(), () -> schema.validate(json).toString());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/codec/src/test/java/garnetreel/codec/ParsersTest.java
@@ -0,0 +1,174 @@
+package garnetreel.codec;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.codec.nbd.HandshakeParser;
+import garnetreel.codec.nbd.Nbd;
+import garnetreel.codec.nbd.RequestParser;
+import garnetreel.codec.node.NodeCodec;
+import garnetreel.codec.node.NodeMessage;
+import garnetreel.codec.nodelist.ListCodec;
+import garnetreel.codec.nodelist.ListMessage;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Every parser: whole, byte by byte, damaged, and with noise. */
+class ParsersTest {
+    private static final List<NodeMessage> NODE = List.of(new NodeMessage.Hello(3, 99),
+            new NodeMessage.Welcome(4, 123_456_789L),
+            new NodeMessage.Request(7, 1, 88, NodeMessage.Op.WRITE, true, false, 55, 2, 5, 3, 9, 17, 4096, 5,
+                    ByteBuffer.wrap(new byte[] {1, 2, 3, 4, 5})),
+            new NodeMessage.Request(8, 0, 89, NodeMessage.Op.READ, false, true, -55, 2, 5, 3, 9, -1, 4096, 512,
+                    NodeMessage.none()),
+            new NodeMessage.Answer(7, 1, NodeMessage.Result.FULL, 12, 13, 14, Map.of("outstanding", 3.5),
+                    ByteBuffer.wrap(new byte[] {9})),
+            new NodeMessage.Cancel(7, 2), new NodeMessage.Probe(5), new NodeMessage.Probed(5, 6, Map.of()));
+    private static final List<ListMessage> LIST = List.of(new ListMessage.Subscribe(4, true, 17),
+            new ListMessage.Fetch(2), new ListMessage.Failed("busy"),
+            new ListMessage.News(ListMessage.Kind.CHANGES, 4, 5, List.of(new ListMessage.Entry("127.0.0.1:1", "zone-b",
+                    3, ListMessage.State.DRAINING, 1.5, 42))),
+            new ListMessage.Register(new ListMessage.Entry("127.0.0.1:2", "", 0, ListMessage.State.UP, 1, 0)));
+
+    private interface Next {
+        Object next(ByteQueue in) throws ProtocolException;
+    }
+
+    private static byte[] bytes(ByteBuffer buffer) {
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.duplicate().get(bytes);
+        return bytes;
+    }
+
+    private static void whole(Next parser, ByteBuffer frame, Object expected) throws ProtocolException {
+        byte[] bytes = bytes(frame);
+        ByteQueue in = new ByteQueue();
+        for (int i = 0; i < bytes.length; i++) {
+            assertNull(parser.next(in), "complete after " + i + " of " + bytes.length);
+            in.add(ByteBuffer.wrap(bytes, i, 1).slice());
+        }
+        assertEquals(expected, parser.next(in));
+        assertEquals(0, in.size());
+    }
+
+    @Test
+    void messagesComeThroughByteByByte() throws ProtocolException {
+        for (NodeMessage message : NODE) {
+            whole(NodeCodec::next, NodeCodec.frame(message), message);
+        }
+        for (ListMessage message : LIST) {
+            whole(ListCodec::next, ListCodec.frame(message), message);
+        }
+    }
+
+    @Test
+    void eachFlippedBitIsNoticed() {
+        for (NodeMessage message : NODE) {
+            byte[] bytes = bytes(NodeCodec.frame(message));
+            for (int bit = 0; bit < bytes.length * 8; bit++) {
+                byte[] damaged = bytes.clone();
+                damaged[bit / 8] ^= (byte) (1 << bit % 8);
+                ByteQueue in = new ByteQueue();
+                in.add(ByteBuffer.wrap(damaged));
+                int at = bit / 8;
+                // A longer length waits for more; everything else is refused.
+                if (at >= 8 && at < 12) {
+                    try {
+                        assertNull(NodeCodec.next(in));
+                    } catch (ProtocolException expected) {
+                        assertNotNull(expected.getMessage());
+                    }
+                } else {
+                    assertThrows(ProtocolException.class, () -> NodeCodec.next(in), "bit " + bit);
+                }
+            }
+        }
+    }
+
+    @Test
+    void noiseNeverBreaksAParserNorFillsMemory() {
+        SplittableRandom random = new SplittableRandom(11);
+        for (int round = 0; round < 20_000; round++) {
+            byte[] noise = new byte[random.nextInt(200)];
+            random.nextBytes(noise);
+            if (noise.length > 28 && round % 2 == 0) {
+                // Right magic, so that the noise reaches the fields behind it.
+                ByteBuffer.wrap(noise).putInt(round % 4 == 0 ? Frames.MAGIC : Nbd.REQUEST_MAGIC);
+            }
+            ByteQueue in = new ByteQueue();
+            in.add(ByteBuffer.wrap(noise));
+            for (Next parser : List.<Next>of(NodeCodec::next, ListCodec::next, new HandshakeParser()::next,
+                    new RequestParser()::header)) {
+                try {
+                    for (int i = 0; i < 10 && parser.next(in) != null; i++) {
+                        assertTrue(in.size() <= noise.length);
+                    }
+                } catch (ProtocolException expected) {
+                    assertNotNull(expected.getMessage());
+                }
+            }
+        }
+    }
+
+    @Test
+    void bodiesOfNoiseInRightFramesAreRefusedInWords() {
+        SplittableRandom random = new SplittableRandom(12);
+        for (int round = 0; round < 20_000; round++) {
+            byte[] body = new byte[random.nextInt(120)];
+            random.nextBytes(body);
+            ByteBuffer frame = Frames.seal(Frames.begin(random.nextInt(40), body.length).put(body));
+            for (Next parser : List.<Next>of(NodeCodec::next, ListCodec::next)) {
+                ByteQueue in = new ByteQueue();
+                in.add(frame.duplicate());
+                try {
+                    assertNotNull(parser.next(in));
+                } catch (ProtocolException expected) {
+                    assertNotNull(expected.getMessage());
+                }
+            }
+        }
+    }
+
+    @Test
+    void optionsAreBounded() throws ProtocolException {
+        HandshakeParser parser = new HandshakeParser();
+        ByteQueue in = new ByteQueue();
+        in.add(ByteBuffer.allocate(4).putInt(3).flip());
+        assertEquals(new HandshakeParser.Flags(3), parser.next(in));
+        in.add(ByteBuffer.allocate(16).putLong(Nbd.OPTION_MAGIC).putInt(7).putInt(HandshakeParser.OPTION_MOST + 1)
+                .flip());
+        for (int sent = 0; sent <= HandshakeParser.OPTION_MOST; sent += 1024) {
+            assertNull(parser.next(in));
+            assertTrue(in.size() <= 1024, "held " + in.size());
+            in.add(ByteBuffer.allocate(Math.min(1024, HandshakeParser.OPTION_MOST + 1 - sent)));
+        }
+        HandshakeParser.Option option = (HandshakeParser.Option) parser.next(in);
+        assertEquals(7, option.code());
+        assertNull(option.data());
+        in.add(ByteBuffer.allocate(16).putLong(Nbd.OPTION_MAGIC).putInt(7).putInt(-1).flip());
+        assertThrows(ProtocolException.class, () -> parser.next(in));
+    }
+
+    @Test
+    void payloadsAreKeptOrPassed() throws ProtocolException {
+        RequestParser parser = new RequestParser();
+        ByteQueue in = new ByteQueue();
+        parser.keep(3);
+        in.add(ByteBuffer.wrap(new byte[] {1, 2}));
+        assertEquals(false, parser.payload(in));
+        in.add(ByteBuffer.wrap(new byte[] {3, 4}));
+        assertEquals(true, parser.payload(in));
+        assertArrayEquals(new byte[] {1, 2, 3}, parser.takePayload());
+        parser.drop(1);
+        assertEquals(true, parser.payload(in));
+        assertNull(parser.takePayload());
+        assertThrows(ProtocolException.class, () -> parser.drop(RequestParser.SKIP_MOST + 1L));
+    }
+}
--- a/core/src/main/java/garnetreel/core/Head.java
+++ b/core/src/main/java/garnetreel/core/Head.java
@@ -54,6 +54,7 @@
     private final NbdFront nbd;
     private final PriorityQueue<Due> alarms = new PriorityQueue<>(
             Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private volatile Figures figures = new Figures(0, 0, 0, 0, 0, 0, 0);
     private long alarmCount;
     private boolean begun;
     private boolean draining;
@@ -101,6 +102,8 @@
             stopped = true;
             actions.add(new NetAction.Stopped());
         }
+        figures = new Figures(nbd.connections(), desk.operations(), nbd.bytesHeld(), nodes.connections(),
+                nodes.lateAnswers(), desk.refusedAtTable(), desk.overdue());
     }
 
     private void take(NetEvent event, List<NetAction> actions) {
@@ -195,10 +198,9 @@
         return alarms.isEmpty() ? next : Math.min(next, alarms.peek().at());
     }
 
-    /** Figures of this head, for its log and its tests. */
+    /** Figures as they were after the last turn; may be asked for on any thread. */
     public Figures figures() {
-        return new Figures(nbd.connections(), desk.operations(), nbd.bytesHeld(), nodes.connections(),
-                nodes.lateAnswers(), desk.refusedAtTable(), desk.overdue());
+        return figures;
     }
 
     /** What a head holds and has counted. */
--- /dev/null
+++ b/emulator/src/test/java/garnetreel/emulator/WorldTest.java
@@ -0,0 +1,115 @@
+package garnetreel.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.core.io.Machine;
+import garnetreel.core.io.NetAction;
+import garnetreel.core.io.NetEvent;
+import garnetreel.standin.day.Stage;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The emulated network itself: order, back-pressure, ends of connections. */
+class WorldTest {
+    /** Does what it is given at its first turn, and writes down what it is told. */
+    private static final class Probe implements Machine {
+        final List<NetAction> first;
+        final List<NetEvent> seen = new ArrayList<>();
+        final List<NetAction> next = new ArrayList<>();
+        boolean begun;
+
+        Probe(NetAction... first) {
+            this.first = List.of(first);
+        }
+
+        @Override
+        public void turn(long now, List<NetEvent> events, List<NetAction> actions) {
+            seen.addAll(events);
+            if (!begun) {
+                begun = true;
+                actions.addAll(first);
+            }
+            actions.addAll(next);
+            next.clear();
+        }
+
+        @Override
+        public long wakeAt() {
+            return Long.MAX_VALUE;
+        }
+
+        long received() {
+            return seen.stream().filter(e -> e instanceof NetEvent.Received)
+                    .mapToLong(e -> ((NetEvent.Received) e).data().remaining()).sum();
+        }
+    }
+
+    private record Poke() implements NetEvent.Order { }
+
+    private final World world = new World(0, 5, new World.Delays(50, 200));
+    private final Probe server = new Probe(new NetAction.Listen("s", "127.0.0.1:0"));
+    private final Stage.Actor serverActor = world.launch("server", server, Stage.Keeper.NONE);
+
+    private Probe connected() {
+        Probe client = new Probe(new NetAction.Connect(-1, serverActor.address("s")));
+        world.launch("client", client, Stage.Keeper.NONE);
+        world.advance(world.now() + 10_000);
+        assertTrue(client.seen.contains(new NetEvent.Connected(-1)));
+        return client;
+    }
+
+    private void act(Stage.Actor actor, Probe probe, NetAction... actions) {
+        probe.next.addAll(List.of(actions));
+        actor.tell(new Poke());
+        world.advance(world.now() + 10_000);
+    }
+
+    @Test
+    void bytesComeInOrderAndThenTheEnd() {
+        Probe client = connected();
+        List<NetAction> actions = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            actions.add(new NetAction.Write(1, ByteBuffer.wrap(new byte[] {(byte) i})));
+        }
+        actions.add(new NetAction.Close(1, false));
+        act(serverActor, server, actions.toArray(new NetAction[0]));
+        int expected = 0;
+        for (NetEvent event : client.seen) {
+            if (event instanceof NetEvent.Received got) {
+                assertEquals(expected++, got.data().get(got.data().position()));
+            }
+        }
+        assertEquals(100, expected);
+        assertTrue(client.seen.get(client.seen.size() - 1) instanceof NetEvent.Closed);
+    }
+
+    @Test
+    void whoDoesNotReadHoldsTheWriterBack() {
+        Probe client = new Probe(new NetAction.Connect(-1, serverActor.address("s")));
+        Stage.Actor actor = world.launch("client", client, Stage.Keeper.NONE);
+        world.advance(world.now() + 10_000);
+        act(actor, client, new NetAction.Reading(-1, false));
+        act(serverActor, server, new NetAction.Write(1, ByteBuffer.allocate(500)));
+        assertEquals(0, client.received());
+        assertTrue(server.seen.stream().noneMatch(e -> e instanceof NetEvent.Drained));
+        act(actor, client, new NetAction.Reading(-1, true));
+        assertEquals(500, client.received());
+        assertTrue(server.seen.contains(new NetEvent.Drained(1, 500)));
+    }
+
+    @Test
+    void killedPeerEndsConnectionsAndRefusesNewOnes() {
+        Probe client = connected();
+        String address = serverActor.address("s");
+        serverActor.kill();
+        world.advance(world.now() + 10_000);
+        assertTrue(client.seen.stream().anyMatch(e -> e instanceof NetEvent.Closed c && c.opened()));
+        Probe late = new Probe(new NetAction.Connect(-1, address));
+        world.launch("late", late, Stage.Keeper.NONE);
+        world.advance(world.now() + 10_000);
+        assertEquals(List.of(new NetEvent.Closed(-1, false, "connection refused")), late.seen);
+    }
+}
