--- a/cli/src/main/java/garnetreel/cli/BenchCommand.java
+++ b/cli/src/main/java/garnetreel/cli/BenchCommand.java
@@ -1,6 +1,7 @@
 package garnetreel.cli;
 
 import garnetreel.cli.bench.Bench;
+import garnetreel.cli.bench.Soak;
 import garnetreel.cli.config.SettingsException;
 import garnetreel.core.Head;
 import java.io.IOException;
