--- a/standin/src/main/java/garnetreel/standin/day/DayRunner.java
+++ b/standin/src/main/java/garnetreel/standin/day/DayRunner.java
@@ -228,7 +228,13 @@
                 at(from, () -> heads.get(h).actor.kill());
                 at(to, () -> heads.get(h).start());
             });
-            case HEAD_STALL -> t.heads().forEach(h -> at(from, () -> heads.get(h).actor.stall(t.length())));
+            case HEAD_STALL -> t.heads().forEach(h -> {
+                at(from, () -> {
+                    stalled(h, "on");
+                    heads.get(h).actor.stall(t.length());
+                });
+                at(to, () -> stalled(h, "off"));
+            });
             case SURGE -> t.loads().forEach(l -> {
                 at(from, () -> clients.get(l).tell(new ClientMachine.Surge(t.amount())));
                 at(to, () -> clients.get(l).tell(new ClientMachine.Surge(1)));
@@ -236,6 +242,10 @@
         }
     }
 
+    private void stalled(int head, String onOrOff) {
+        trace.add(TraceEvent.state(stage.now(), "head-" + head, "", TraceEvent.Kind.FAULT, "stall", -1, onOrOff));
+    }
+
     private void eachNode(Trouble t, java.util.function.Consumer<NodeSite> what) {
         t.nodes().forEach(name -> what.accept(nodes.get(name)));
     }
