--- a/cli/src/main/java/garnetreel/cli/DayCommand.java
+++ b/cli/src/main/java/garnetreel/cli/DayCommand.java
@@ -9,6 +9,7 @@
 import garnetreel.standin.day.Stage;
 import garnetreel.standin.rules.Verdict;
 import garnetreel.standin.trace.Trace;
+import garnetreel.standin.trace.TraceEvent;
 import garnetreel.standin.trace.TraceFile;
 import garnetreel.standin.trace.TraceHash;
 import java.io.IOException;
@@ -137,6 +138,25 @@
             out.println(line(verdict));
             verdict.broken().forEach(b -> out.println("       " + b));
         }
+        out.println(result.unverified() == 0 ? "data    read back                all that was written"
+                : "data    read back                BROKEN: " + result.unverified() + " places could not be read");
+        misdirected(out, result);
+    }
+
+    private static void misdirected(PrintWriter out, DayRunner.Result result) {
+        long stale = 0;
+        long arrived = 0;
+        long steps = 0;
+        for (TraceEvent event : result.events()) {
+            arrived += event.kind() == TraceEvent.Kind.ARRIVE ? 1 : 0;
+            stale += event.kind() == TraceEvent.Kind.ANSWER && event.outcome().equals("stale") ? 1 : 0;
+            steps += event.kind() == TraceEvent.Kind.STEP && event.op().equals("serve")
+                    && event.outcome().equals("ok") ? 1 : 0;
+        }
+        if (steps > 0) {
+            out.printf(Locale.ROOT, "moves  %d done, %d of %d attempts misdirected (%.2f per thousand)%n", steps, stale,
+                    arrived, 1000.0 * stale / Math.max(1, arrived));
+        }
     }
 
     private static String line(Verdict verdict) {
--- a/cli/src/main/java/garnetreel/cli/LocalService.java
+++ b/cli/src/main/java/garnetreel/cli/LocalService.java
@@ -52,7 +52,7 @@
 
     /** What the one head is told. */
     HeadSettings head(String listen) {
-        return settings.head(0, process.clock.micros(), listen, list);
+        return settings.head(0, process.clock.micros(), listen, list, "");
     }
 
     long longestDeadline() {
--- a/cli/src/main/java/garnetreel/cli/Process.java
+++ b/cli/src/main/java/garnetreel/cli/Process.java
@@ -4,6 +4,7 @@
 import garnetreel.core.HeadSettings;
 import garnetreel.core.io.Machine;
 import garnetreel.core.link.ListLink;
+import garnetreel.core.link.MapLink;
 import garnetreel.net.BackgroundKeeper;
 import garnetreel.net.Clock;
 import garnetreel.net.Driver;
@@ -38,15 +39,17 @@
     /** Runs a head; it remembers the node list in {@code state}, or not at all where that is null. */
     Driver head(HeadSettings settings, Path state) throws IOException {
         byte[] remembered = null;
+        byte[] rememberedMap = null;
         Driver.Keeper keeper = (name, data) -> { };
         if (state != null) {
             StateDirectory directory = new StateDirectory(state);
             remembered = directory.read(ListLink.REMEMBERED).orElse(null);
+            rememberedMap = directory.read(MapLink.REMEMBERED).orElse(null);
             BackgroundKeeper background = new BackgroundKeeper(directory);
             running.push(background);
             keeper = background;
         }
-        Head head = new Head(settings, new Control(settings.scheduling(), settings.incarnation()), remembered);
+        Head head = new Head(settings, new Control(settings.scheduling(), settings.incarnation()), remembered, rememberedMap);
         return run("head-" + settings.head(), head, keeper);
     }
 
--- a/cli/src/main/java/garnetreel/cli/ServeCommand.java
+++ b/cli/src/main/java/garnetreel/cli/ServeCommand.java
@@ -39,7 +39,8 @@
             throw new SettingsException(List.of(settings.at("/service") + "lacks \"list\", where the node list is"));
         }
         Process process = new Process();
-        HeadSettings told = settings.head(head, process.clock.micros(), listen, settings.list());
+        HeadSettings told = settings.head(head, process.clock.micros(), listen, settings.list(),
+                settings.map());
         String state = settings.state(head);
         Driver driver = process.head(told, state.isEmpty() ? null : Path.of(state));
         String address = Process.bound(driver, Head.NBD);
--- a/cli/src/main/java/garnetreel/cli/SocketStage.java
+++ b/cli/src/main/java/garnetreel/cli/SocketStage.java
@@ -21,7 +21,18 @@
     public Actor launch(String name, Machine machine, Keeper keeper) {
         Driver driver;
         try {
-            driver = process.run(name, machine, keeper::keep);
+            driver = process.run(name, machine, new Driver.Keeper() {
+                @Override
+                public void keep(String state, byte[] data) {
+                    keeper.keep(state, data);
+                }
+
+                @Override
+                public void append(long seq, byte[] data, Runnable durable) {
+                    keeper.append(seq, data);
+                    durable.run();
+                }
+            });
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/cli/src/main/java/garnetreel/cli/bench/Bench.java
+++ b/cli/src/main/java/garnetreel/cli/bench/Bench.java
@@ -41,7 +41,7 @@
     /** Prints one line a case, then percentiles of each. */
     public void run(HeadSettings settings, Launcher launcher) throws IOException {
         TimedScheduler module = new TimedScheduler(new Control(settings.scheduling(), 1));
-        String head = launcher.launch("head", new Head(settings, module, null));
+        String head = launcher.launch("head", new Head(settings, module, null, null));
         String memory = launcher.launch("memory", new MemoryHead(settings));
         String export = settings.volumes().get(0).name();
         long size = settings.volumes().get(0).size();
--- a/cli/src/main/java/garnetreel/cli/bench/Soak.java
+++ b/cli/src/main/java/garnetreel/cli/bench/Soak.java
@@ -21,7 +21,7 @@
     /** Goes on for about so many minutes, one line for each turn of four cases. */
     public static void run(PrintWriter out, HeadSettings settings, Bench.Launcher launcher, double minutes)
             throws IOException {
-        String head = launcher.launch("head", new Head(settings, new Control(settings.scheduling(), 1), null));
+        String head = launcher.launch("head", new Head(settings, new Control(settings.scheduling(), 1), null, null));
         String export = settings.volumes().get(0).name();
         long size = settings.volumes().get(0).size();
         var system = (UnixOperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
--- a/cli/src/main/java/garnetreel/cli/config/DayFile.java
+++ b/cli/src/main/java/garnetreel/cli/config/DayFile.java
@@ -25,7 +25,7 @@
 public final class DayFile {
     private static final int PAGE = 4096;
     private static final Set<Trouble.Kind> OF_LIST = Set.of(Trouble.Kind.LIST_LAG, Trouble.Kind.LIST_FAIL,
-            Trouble.Kind.LIST_SILENT, Trouble.Kind.LIST_CRASH);
+            Trouble.Kind.LIST_SILENT, Trouble.Kind.LIST_CRASH, Trouble.Kind.MAP_CRASH, Trouble.Kind.MAP_STALL);
 
     private final String name;
     private final Settings settings;
@@ -124,9 +124,13 @@
         List<NodeSettings> nodes = List.copyOf(settings.nodes().values());
         return new DaySettings(name, seed, settings.micros("/day/length", "10s"),
                 settings.micros("/day/settle", "5s"), settings.heads(), nodes, settings.micros("/list/lag", "0s"),
-                place -> settings.head(place.head(), place.incarnation(), place.listen(), place.list()),
+                place -> settings.head(place.head(), place.incarnation(), place.listen(), place.list(),
+                        place.map()),
                 Control::new, this::loads, List.copyOf(troubles), new RuleSettings(settings.rules(),
-                        settings.volumesById(), settings.classes(), settings.plans(), transit));
+                        settings.volumesById(), settings.classes(), settings.plans(), transit),
+                settings.root().path("map").isMissingNode() ? null : new DaySettings.MapDay(
+                        (listen, list) -> settings.mapd(listen, list, 1), settings.firstMap(),
+                        (int) settings.number("/map/moves", 0)));
     }
 
     private List<LoadSettings> loads(List<String> addresses) {
--- a/cli/src/main/java/garnetreel/cli/config/Settings.java
+++ b/cli/src/main/java/garnetreel/cli/config/Settings.java
@@ -2,11 +2,15 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import garnetreel.codec.Frames;
+import garnetreel.codec.map.MapMessage.VolumeMap;
+import garnetreel.codec.map.MapMessage.Whole;
 import garnetreel.core.HeadSettings;
 import garnetreel.core.HeadSettings.Bounds;
 import garnetreel.core.HeadSettings.Links;
 import garnetreel.core.Layout;
 import garnetreel.core.Volume;
+import garnetreel.map.Rebalancer;
+import garnetreel.mapd.MapdSettings;
 import garnetreel.policy.Scheduler;
 import garnetreel.policy.Scheduler.Effect;
 import garnetreel.policy.Scheduler.Group;
@@ -285,8 +289,8 @@
     }
 
     /** What a head is told. */
-    public HeadSettings head(int number, long incarnation, String listen, String list) {
-        return new HeadSettings(number, incarnation, listen, list, scheduling(number),
+    public HeadSettings head(int number, long incarnation, String listen, String list, String map) {
+        return new HeadSettings(number, incarnation, listen, list, map, scheduling(number),
                 volumes.values().stream().filter(v -> exported(v.name(), number)).toList(), margin, bounds, links);
     }
 
@@ -310,6 +314,33 @@
         return text("/service/list", "");
     }
 
+    /** Address of the map service; empty when the file names none. */
+    public String map() {
+        return text("/service/map", "");
+    }
+
+    /** The maps of a service whose extents never moved. */
+    public Whole firstMap() {
+        List<VolumeMap> maps = new ArrayList<>();
+        volumes.values().forEach(v -> {
+            String path = "/volume/" + escaped(v.name());
+            long extent = bytes(path + "/extent", "1MiB");
+            List<Integer> shards = new ArrayList<>();
+            root.at(path + "/shards").forEach(s -> shards.add(s.asInt()));
+            maps.add(new VolumeMap(v.id(), (v.size() + extent - 1) / extent, (int) extent, shards, List.of()));
+        });
+        return new Whole(1, 1, maps);
+    }
+
+    /** What the map service is told. */
+    public MapdSettings mapd(String listen, String list, long incarnation) {
+        return new MapdSettings(listen, head(-1, incarnation, "", list, ""), bytes("/map/copy_rate", "64MiB"),
+                (int) number("/map/subscribes", 200), micros("/map/order_timeout", "2s"),
+                flag("/map/rebalance", false), number("/map/power", 1000), micros("/map/cold_for", "15s"),
+                new Rebalancer.Bounds((int) number("/map/moves_at_once", 4), (int) number("/map/moves_a_node", 1),
+                        number("/map/difference", 0.2), micros("/map/rest", "60s"), number("/map/fullest", 0.8)));
+    }
+
     /** State directory of a head; empty for none. */
     public String state(int head) {
         return text("/head/" + head + "/state", "");
--- /dev/null
+++ b/cli/src/test/java/garnetreel/cli/MovesTest.java
@@ -0,0 +1,64 @@
+package garnetreel.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.cli.config.DayFile;
+import garnetreel.emulator.World;
+import garnetreel.standin.day.DayRunner;
+import garnetreel.standin.rules.Verdict;
+import garnetreel.standin.trace.Trace;
+import garnetreel.standin.trace.TraceEvent;
+import garnetreel.standin.trace.TraceEvent.Kind;
+import garnetreel.standin.trace.TraceHash;
+import java.nio.file.Path;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+
+/** Extents that move amid troubles, in the emulator: the rules hold, and all that was acknowledged is read back. */
+class MovesTest {
+    private static DayRunner.Result play(long seed, Trace trace) throws Exception {
+        return new DayRunner(DayFile.read(Path.of("../days/moves.hcl")).day(seed, 10_000),
+                new World(1_000_000_000_000L, seed, new World.Delays(50, 200)), trace, UnaryOperator.identity()).run();
+    }
+
+    @Test
+    void movesAmidTroublesLoseAndRepeatNothing() throws Exception {
+        for (long seed = 1; seed <= 3; seed++) {
+            DayRunner.Result result = play(seed, Trace.NONE);
+            for (Verdict verdict : result.verdicts()) {
+                assertTrue(verdict.kept(), "seed " + seed + ": " + verdict);
+            }
+            assertEquals(0, result.unverified());
+            long moved = result.events().stream().filter(e -> e.kind() == Kind.STEP && e.op().equals("serve")
+                    && e.outcome().equals("ok")).count();
+            long stale = result.events().stream().filter(e -> e.kind() == Kind.ANSWER
+                    && e.outcome().equals("stale")).count();
+            assertTrue(moved > 100, moved + " moves");
+            assertTrue(stale > 0, "no request met a moved extent: nothing was put to the test");
+        }
+    }
+
+    @Test
+    void sameSeedGoesTheSameWay() throws Exception {
+        TraceHash first = new TraceHash();
+        TraceHash second = new TraceHash();
+        play(5, first);
+        play(5, second);
+        assertEquals(first.hex(), second.hex());
+    }
+
+    @Test
+    void noNodeRunsAnExtentThatItDoesNotServe() throws Exception {
+        // Two nodes never run requests for one extent under one version, and none after its release.
+        DayRunner.Result result = play(4, Trace.NONE);
+        java.util.Map<String, String> owner = new java.util.HashMap<>();
+        for (TraceEvent e : result.events()) {
+            if (e.kind() == Kind.RUN && e.version() > 0 && !e.op().equals("flush")) {
+                String extent = e.volume() + "/" + e.offset() / (256 << 10) + "@" + e.version();
+                assertEquals(owner.computeIfAbsent(extent, any -> e.who()), e.who(), extent);
+            }
+        }
+        assertTrue(owner.size() > 200);
+    }
+}
--- a/codec/src/main/java/garnetreel/codec/Frames.java
+++ b/codec/src/main/java/garnetreel/codec/Frames.java
@@ -29,6 +29,11 @@
 
     /** The next whole frame, or null while it has not all come. */
     public static Frame next(ByteQueue in) throws ProtocolException {
+        return next(in, MOST);
+    }
+
+    /** The same for a protocol whose bodies may be of another size. */
+    public static Frame next(ByteQueue in, int most) throws ProtocolException {
         if (in.size() < HEADER) {
             return null;
         }
@@ -36,8 +41,8 @@
             throw new ProtocolException("frame magic is 0x" + Long.toHexString(in.peekInt(0, 4)));
         }
         long length = in.peekInt(8, 4);
-        if (length > MOST) {
-            throw new ProtocolException("frame of " + length + " bytes, " + MOST + " at most");
+        if (length > most) {
+            throw new ProtocolException("frame of " + length + " bytes, " + most + " at most");
         }
         if (in.size() < HEADER + length) {
             return null;
--- /dev/null
+++ b/codec/src/main/java/garnetreel/codec/map/MapCodec.java
@@ -0,0 +1,147 @@
+package garnetreel.codec.map;
+
+import garnetreel.codec.ByteQueue;
+import garnetreel.codec.Frames;
+import garnetreel.codec.ProtocolException;
+import garnetreel.codec.map.MapMessage.Busy;
+import garnetreel.codec.map.MapMessage.Change;
+import garnetreel.codec.map.MapMessage.Changes;
+import garnetreel.codec.map.MapMessage.Command;
+import garnetreel.codec.map.MapMessage.Moved;
+import garnetreel.codec.map.MapMessage.Result;
+import garnetreel.codec.map.MapMessage.Subscribe;
+import garnetreel.codec.map.MapMessage.VolumeMap;
+import garnetreel.codec.map.MapMessage.Whole;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Bytes to {@link MapMessage}s and back. The same bytes keep a head's map and the service's snapshots on disk. */
+public final class MapCodec {
+    private static final int SUBSCRIBE = 65;
+    private static final int WHOLE = 66;
+    private static final int CHANGES = 67;
+    private static final int BUSY = 68;
+    private static final int COMMAND = 69;
+    private static final int RESULT = 70;
+    /** A whole map of three million extents that have all moved. */
+    private static final int MOST = 64 << 20;
+    private static final int MOVED_BYTES = 20;
+    private static final int CHANGE_BYTES = 28;
+
+    private MapCodec() { }
+
+    /** The next message, or null while it has not all come. */
+    public static MapMessage next(ByteQueue in) throws ProtocolException {
+        Frames.Frame frame = Frames.next(in, MOST);
+        if (frame == null) {
+            return null;
+        }
+        ByteBuffer body = frame.body();
+        try {
+            return switch (frame.kind()) {
+                case SUBSCRIBE -> new Subscribe(body.getInt(), body.getLong(), body.getLong());
+                case WHOLE -> whole(body);
+                case CHANGES -> changes(body);
+                case BUSY -> new Busy(body.getLong());
+                case COMMAND -> new Command(text(body), text(body));
+                case RESULT -> new Result(body.get() != 0, text(body));
+                default -> throw new ProtocolException("map message of unknown kind " + frame.kind());
+            };
+        } catch (BufferUnderflowException e) {
+            throw new ProtocolException("map message of kind " + frame.kind() + " is cut short");
+        }
+    }
+
+    private static int count(ByteBuffer body, int each) throws ProtocolException {
+        int count = body.getInt();
+        if (count < 0 || (long) count * each > body.remaining()) {
+            throw new ProtocolException("map message with " + count + " entries in " + body.remaining() + " bytes");
+        }
+        return count;
+    }
+
+    private static Whole whole(ByteBuffer body) throws ProtocolException {
+        long epoch = body.getLong();
+        long version = body.getLong();
+        int count = count(body, 28);
+        List<VolumeMap> volumes = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            long volume = body.getLong();
+            long extents = body.getLong();
+            int extentBytes = body.getInt();
+            int shardCount = count(body, 4);
+            List<Integer> shards = new ArrayList<>(shardCount);
+            for (int n = 0; n < shardCount; n++) {
+                shards.add(body.getInt());
+            }
+            int movedCount = count(body, MOVED_BYTES);
+            List<Moved> moved = new ArrayList<>(movedCount);
+            for (int n = 0; n < movedCount; n++) {
+                moved.add(new Moved(body.getLong(), body.getInt(), body.getLong()));
+            }
+            if (extents <= 0 || extentBytes <= 0 || shards.isEmpty()) {
+                throw new ProtocolException("map of volume " + volume + " has no extents or shards");
+            }
+            volumes.add(new VolumeMap(volume, extents, extentBytes, shards, moved));
+        }
+        return new Whole(epoch, version, volumes);
+    }
+
+    private static Changes changes(ByteBuffer body) throws ProtocolException {
+        long epoch = body.getLong();
+        long since = body.getLong();
+        long version = body.getLong();
+        int count = count(body, CHANGE_BYTES);
+        List<Change> changes = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            changes.add(new Change(body.getLong(), body.getLong(), body.getInt(), body.getLong()));
+        }
+        return new Changes(epoch, since, version, changes);
+    }
+
+    private static String text(ByteBuffer body) throws ProtocolException {
+        byte[] bytes = new byte[count(body, 1)];
+        body.get(bytes);
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    /** The frame of a message. */
+    public static ByteBuffer frame(MapMessage message) {
+        ByteBuffer frame;
+        if (message instanceof Subscribe s) {
+            frame = Frames.begin(SUBSCRIBE, 20).putInt(s.head()).putLong(s.epoch()).putLong(s.version());
+        } else if (message instanceof Whole w) {
+            int size = 20;
+            for (VolumeMap v : w.volumes()) {
+                size += 28 + 4 * v.shards().size() + MOVED_BYTES * v.moved().size();
+            }
+            frame = Frames.begin(WHOLE, size).putLong(w.epoch()).putLong(w.version()).putInt(w.volumes().size());
+            for (VolumeMap v : w.volumes()) {
+                frame.putLong(v.volume()).putLong(v.extents()).putInt(v.extentBytes()).putInt(v.shards().size());
+                v.shards().forEach(frame::putInt);
+                frame.putInt(v.moved().size());
+                v.moved().forEach(m -> frame.putLong(m.extent()).putInt(m.shard()).putLong(m.version()));
+            }
+        } else if (message instanceof Changes c) {
+            frame = Frames.begin(CHANGES, 28 + CHANGE_BYTES * c.changes().size()).putLong(c.epoch())
+                    .putLong(c.since()).putLong(c.version()).putInt(c.changes().size());
+            c.changes().forEach(x -> frame.putLong(x.volume()).putLong(x.extent()).putInt(x.shard())
+                    .putLong(x.version()));
+        } else if (message instanceof Busy b) {
+            frame = Frames.begin(BUSY, 8).putLong(b.micros());
+        } else if (message instanceof Command c) {
+            byte[] who = c.who().getBytes(StandardCharsets.UTF_8);
+            byte[] text = c.text().getBytes(StandardCharsets.UTF_8);
+            frame = Frames.begin(COMMAND, 8 + who.length + text.length).putInt(who.length).put(who)
+                    .putInt(text.length).put(text);
+        } else {
+            Result r = (Result) message;
+            byte[] text = r.json().getBytes(StandardCharsets.UTF_8);
+            frame = Frames.begin(RESULT, 5 + text.length).put((byte) (r.ok() ? 1 : 0)).putInt(text.length).put(text);
+        }
+        return Frames.seal(frame);
+    }
+}
--- a/codec/src/main/java/garnetreel/codec/node/NodeCodec.java
+++ b/codec/src/main/java/garnetreel/codec/node/NodeCodec.java
@@ -7,10 +7,13 @@
 import garnetreel.codec.node.NodeMessage.Cancel;
 import garnetreel.codec.node.NodeMessage.Hello;
 import garnetreel.codec.node.NodeMessage.Op;
+import garnetreel.codec.node.NodeMessage.Order;
 import garnetreel.codec.node.NodeMessage.Probe;
 import garnetreel.codec.node.NodeMessage.Probed;
+import garnetreel.codec.node.NodeMessage.Report;
 import garnetreel.codec.node.NodeMessage.Request;
 import garnetreel.codec.node.NodeMessage.Result;
+import garnetreel.codec.node.NodeMessage.Step;
 import garnetreel.codec.node.NodeMessage.Welcome;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
@@ -27,6 +30,8 @@
     private static final int PROBE = 5;
     private static final int PROBED = 6;
     private static final int WELCOME = 7;
+    private static final int ORDER = 8;
+    private static final int REPORT = 9;
     /** Fixed fields of a request and of an answer, in bytes. */
     private static final int REQUEST_FIXED = 8 + 2 + 8 + 1 + 1 + 8 + 8 + 4 + 4 + 8 + 8 + 8 + 4;
     private static final int ANSWER_FIXED = 8 + 2 + 1 + 4 + 4 + 8;
@@ -35,6 +40,7 @@
     private static final int NAME_MOST = 64;
     private static final Op[] OPS = Op.values();
     private static final Result[] RESULTS = Result.values();
+    private static final Step[] STEPS = Step.values();
 
     private NodeCodec() { }
 
@@ -54,6 +60,10 @@
                 case CANCEL -> new Cancel(body.getLong(), body.getShort() & 0xffff);
                 case PROBE -> new Probe(body.getLong());
                 case PROBED -> new Probed(body.getLong(), body.getLong(), load(body));
+                case ORDER -> new Order(body.getLong(), of(STEPS, body.get()), body.getLong(), body.getLong(),
+                        body.getInt(), body.getLong(), body.getInt(), rest(body));
+                case REPORT -> new Report(body.getLong(), body.get() != 0, body.get() != 0, body.getLong(),
+                        body.getLong(), rest(body));
                 case WELCOME -> new Welcome(body.getLong(), body.getLong());
                 default -> throw new ProtocolException("node message of unknown kind " + frame.kind());
             };
@@ -129,6 +139,13 @@
             frame.put(a.data().duplicate());
         } else if (message instanceof Hello h) {
             frame = Frames.begin(HELLO, 12).putInt(h.head()).putLong(h.incarnation());
+        } else if (message instanceof Order o) {
+            frame = Frames.begin(ORDER, 41 + o.data().remaining()).putLong(o.seq()).put((byte) o.step().ordinal())
+                    .putLong(o.volume()).putLong(o.extent()).putInt(o.extentBytes()).putLong(o.version())
+                    .putInt(o.room()).put(o.data().duplicate());
+        } else if (message instanceof Report r) {
+            frame = Frames.begin(REPORT, 26 + r.data().remaining()).putLong(r.seq()).put((byte) (r.ok() ? 1 : 0))
+                    .put((byte) (r.more() ? 1 : 0)).putLong(r.life()).putLong(r.known()).put(r.data().duplicate());
         } else if (message instanceof Welcome w) {
             frame = Frames.begin(WELCOME, 16).putLong(w.life()).putLong(w.clock());
         } else if (message instanceof Cancel c) {
--- a/codec/src/main/java/garnetreel/codec/node/NodeMessage.java
+++ b/codec/src/main/java/garnetreel/codec/node/NodeMessage.java
@@ -28,7 +28,9 @@
         /** Not looked at: the queue is full or the node drains. */
         FULL,
         /** Not looked at: the node does not hold that shard. */
-        MOOT
+        MOOT,
+        /** Not looked at: the node holds the extent under another version, or does not serve it now. */
+        STALE
     }
 
     /**
@@ -87,7 +89,7 @@
      * @param cost units this node served for the volume through other heads since its last answer here about it
      * @param life incarnation of the node: a write held in an earlier life and not flushed is lost
      * @param load load report by name
-     * @param data bytes read, or for STATUS pairs of length and flags as in NBD
+     * @param data bytes read, for STATUS pairs of length and flags as in NBD, for a STALE result the version known, u64
      */
     record Answer(long id, int attempt, Result result, int used, int cost, long life, Map<String, Double> load,
             ByteBuffer data) implements NodeMessage { }
@@ -95,6 +97,51 @@
     /** The head no longer waits for an attempt; the node may drop it while it has not begun. */
     record Cancel(long id, int attempt) implements NodeMessage { }
 
+    /** One step of a move of an extent, as asked of one of its two nodes. Each may be asked again. */
+    enum Step {
+        /** To the old holder: from now on keep account of pages that change; all that exist count as changed. */
+        TRACK,
+        /** To the old holder: hand over changed pages, at most {@code room} bytes of them. */
+        TAKE,
+        /** To the new holder: get ready to receive, dropping what an earlier try left. */
+        RECEIVE,
+        /** To the new holder: pages. */
+        PUT,
+        /** To the old holder: durably serve nothing of the extent any more; ok once nothing of it is in work. */
+        FENCE,
+        /** To the new holder: durably serve the extent under {@code version}. */
+        SERVE,
+        /** To the old holder: the move is done; drop the data and remember that {@code version} is elsewhere. */
+        RELEASE,
+        /** To the old holder: the move is off; serve again as before. */
+        UNFENCE,
+        /** To the new holder: the move is off; drop what came. */
+        FORGET,
+        /** How much was served lately: units a second in all, then volume, extent and units a second of the busiest. */
+        LOAD
+    }
+
+    /**
+     * An order of the map service.
+     *
+     * @param seq names the order in its report
+     * @param extentBytes size of the volume's extents
+     * @param version version of the extent that the step is about
+     * @param data pages for PUT: u32 index within the extent and the page; the top bit says that it is a hole, without bytes
+     */
+    record Order(long seq, Step step, long volume, long extent, int extentBytes, long version, int room,
+            ByteBuffer data) implements NodeMessage { }
+
+    /**
+     * What came of an order.
+     *
+     * @param ok done
+     * @param more for TAKE: changed pages remain
+     * @param known the version that the node knows of the extent
+     * @param data pages for TAKE
+     */
+    record Report(long seq, boolean ok, boolean more, long life, long known, ByteBuffer data) implements NodeMessage { }
+
     /** A check, answered beside the queue. */
     record Probe(long id) implements NodeMessage { }
 
--- a/core/src/main/java/garnetreel/core/Head.java
+++ b/core/src/main/java/garnetreel/core/Head.java
@@ -10,6 +10,7 @@
 import garnetreel.core.link.Attempt;
 import garnetreel.core.link.ConnectionNumbers;
 import garnetreel.core.link.ListLink;
+import garnetreel.core.link.MapLink;
 import garnetreel.core.link.NodeLinks;
 import garnetreel.policy.Scheduler;
 import garnetreel.policy.Scheduler.Action;
@@ -50,11 +51,13 @@
     private final byte[] rememberedList;
     private final NodeLinks nodes;
     private final ListLink list;
+    private final MapLink map;
+    private final byte[] rememberedMap;
     private final Desk desk;
     private final NbdFront nbd;
     private final PriorityQueue<Due> alarms = new PriorityQueue<>(
             Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
-    private volatile Figures figures = new Figures(0, 0, 0, 0, 0, 0, 0);
+    private volatile Figures figures = new Figures(0, 0, 0, 0, 0, 0, 0, 0, 0);
     private long alarmCount;
     private boolean begun;
     private boolean draining;
@@ -64,14 +67,17 @@
     /**
      * @param scheduler the decision module, new
      * @param rememberedList what {@link NetAction.Persist} kept last under {@link ListLink#REMEMBERED}; null for none
+     * @param rememberedMap the same under {@link MapLink#REMEMBERED}
      */
-    public Head(HeadSettings settings, Scheduler scheduler, byte[] rememberedList) {
+    public Head(HeadSettings settings, Scheduler scheduler, byte[] rememberedList, byte[] rememberedMap) {
         this.settings = settings;
         this.scheduler = scheduler;
         this.rememberedList = rememberedList;
         ConnectionNumbers numbers = new ConnectionNumbers();
         nodes = new NodeLinks(settings, numbers);
-        desk = new Desk(settings, nodes);
+        map = new MapLink(settings, numbers);
+        this.rememberedMap = rememberedMap;
+        desk = new Desk(settings, nodes, map);
         list = new ListLink(settings, numbers, desk::tell);
         nbd = new NbdFront(settings, desk);
         nodes.listener(this);
@@ -82,11 +88,13 @@
         now = Math.max(now, time);
         nodes.at(now, actions);
         list.at(now, actions);
+        map.at(now, actions);
         desk.at(now);
         nbd.at(now, actions);
         if (!begun) {
             begun = true;
             list.remembered(rememberedList);
+            map.begin(rememberedMap);
             actions.add(new NetAction.Listen(NBD, settings.listen()));
         }
         for (NetEvent event : events) {
@@ -94,6 +102,7 @@
         }
         nodes.expire();
         list.expire();
+        map.expire();
         nbd.expire();
         desk.expire();
         decide(actions);
@@ -103,7 +112,7 @@
             actions.add(new NetAction.Stopped());
         }
         figures = new Figures(nbd.connections(), desk.operations(), nbd.bytesHeld(), nodes.connections(),
-                nodes.lateAnswers(), desk.refusedAtTable(), desk.overdue());
+                nodes.lateAnswers(), desk.refusedAtTable(), desk.overdue(), desk.rerouted(), map.version());
     }
 
     private void take(NetEvent event, List<NetAction> actions) {
@@ -114,6 +123,8 @@
                 nodes.received(got.conn(), got.data());
             } else if (list.owns(got.conn())) {
                 list.received(got.data());
+            } else if (map.owns(got.conn()) && map.received(got.data())) {
+                desk.route();
             }
         } else if (event instanceof NetEvent.Drained drained) {
             if (nbd.owns(drained.conn())) {
@@ -126,6 +137,8 @@
                 nodes.connected(connected.conn());
             } else if (list.owns(connected.conn())) {
                 list.connected();
+            } else if (map.owns(connected.conn())) {
+                map.connected();
             }
         } else if (event instanceof NetEvent.Closed closed) {
             if (nbd.owns(closed.conn())) {
@@ -134,6 +147,8 @@
                 nodes.closed(closed.conn(), closed.opened());
             } else if (list.owns(closed.conn())) {
                 list.closed();
+            } else if (map.owns(closed.conn())) {
+                map.closed();
             }
         } else if (event instanceof NetEvent.ListenFailed failed) {
             actions.add(new NetAction.Note(Level.WARN, "can't listen on " + settings.listen() + ": "
@@ -193,7 +208,7 @@
         if (!begun || desk.hasEvents()) {
             return now;
         }
-        long next = Math.min(nodes.wakeAt(), list.wakeAt());
+        long next = Math.min(map.wakeAt(), Math.min(nodes.wakeAt(), list.wakeAt()));
         next = Math.min(next, Math.min(nbd.wakeAt(), desk.wakeAt()));
         return alarms.isEmpty() ? next : Math.min(next, alarms.peek().at());
     }
@@ -205,5 +220,5 @@
 
     /** What a head holds and has counted. */
     public record Figures(int connections, int operations, long bytesHeld, int nodeConnections, long lateAnswers,
-            long refusedAtTable, long overdue) { }
+            long refusedAtTable, long overdue, long rerouted, long mapVersion) { }
 }
--- a/core/src/main/java/garnetreel/core/HeadSettings.java
+++ b/core/src/main/java/garnetreel/core/HeadSettings.java
@@ -10,12 +10,13 @@
  * @param incarnation differs at each start of that head
  * @param listen where NBD clients connect, host:port
  * @param list where the node list is, host:port
+ * @param map where the map service is; empty where volumes stay under their first rule
  * @param scheduling what the module is told
  * @param volumes what is exported
  * @param margin how long before the class's deadline the last word is said, for the way back to the client
  */
-public record HeadSettings(int head, long incarnation, String listen, String list, Scheduler.Settings scheduling,
-        List<Volume> volumes, long margin, Bounds bounds, Links links) {
+public record HeadSettings(int head, long incarnation, String listen, String list, String map,
+        Scheduler.Settings scheduling, List<Volume> volumes, long margin, Bounds bounds, Links links) {
 
     /**
      * Bounds of what a head holds; what happens at each is in docs/gateway.md.
--- a/core/src/main/java/garnetreel/core/desk/Desk.java
+++ b/core/src/main/java/garnetreel/core/desk/Desk.java
@@ -23,6 +23,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -37,10 +38,19 @@
     private static final int STATUS_PARTS = 32;
     /** A shard's number in a flush stands where an offset would; pieces of data have keys from 0. */
     private static final long NO_KEY = -1;
+    /** A part that met a moved extent is routed anew when the map changes, or after this long. */
+    private static final long ROUTE_AGAIN = 50_000;
+    /** Times a part is routed anew before its stale answer is left to the module like any other. */
+    private static final int ROUTES_MOST = 20;
 
     private final HeadSettings settings;
     private final HeadSettings.Bounds bounds;
     private final NodeLinks links;
+    private final Places places;
+    /** Parts that wait for the map, in the order they were taken. */
+    private final TreeMap<Long, Part> unrouted = new TreeMap<>();
+    private long routeAt = Long.MAX_VALUE;
+    private long rerouted;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Map<Long, Part> parts = new HashMap<>();
     private final TreeSet<Part> deadlines = new TreeSet<>(
@@ -54,7 +64,8 @@
     private long refusedAtTable;
     private long overdue;
 
-    public Desk(HeadSettings settings, NodeLinks links) {
+    public Desk(HeadSettings settings, NodeLinks links, Places places) {
+        this.places = places;
         this.settings = settings;
         this.bounds = settings.bounds();
         this.links = links;
@@ -138,7 +149,7 @@
     private void fill(Operation operation) {
         while (operation.more() && operation.open.size() < PARTS_OUT) {
             long offset = operation.next;
-            Layout.Place place = operation.volume.layout().at(offset);
+            Layout.Place place = places.at(operation.volume, offset);
             long end = Math.min(operation.offset + operation.length, place.end());
             boolean carries = operation.op == Op.READ || operation.op == Op.WRITE;
             if (carries) {
@@ -162,10 +173,18 @@
     }
 
     private void begin(Part part) {
+        part.operation.open.add(part);
+        deadlines.add(part);
+        if (inOrder(part) && unrouted.values().stream().anyMatch(p -> p.key == part.key)) {
+            unroute(part); // one of its key, taken before, waits for the map
+        } else {
+            arrive(part);
+        }
+    }
+
+    private void arrive(Part part) {
         Operation operation = part.operation;
-        operation.open.add(part);
         parts.put(part.id, part);
-        deadlines.add(part);
         Volume volume = operation.volume;
         events.add(new Arrived(part.id, operation.kind.name(), volume.plan(), part.key, part.validUntil, volume.id(),
                 part.units, part.shard, volume.hosts(), false, operation.op.changes()));
@@ -199,12 +218,75 @@
         operations--;
         for (Part part : List.copyOf(operation.open)) {
             part.over = true;
-            events.add(new Abandoned(part.id));
+            if (!part.unrouted) {
+                events.add(new Abandoned(part.id));
+            }
             forget(part);
         }
         operation.open.clear();
     }
 
+    // ---------------------------------------------------------------- extents that moved
+
+    private static boolean inOrder(Part part) {
+        return part.operation.kind.inOrder() && part.key >= 0;
+    }
+
+    /** The module knows nothing of a part until its place is known again. */
+    private void unroute(Part part) {
+        parts.remove(part.id);
+        part.unrouted = true;
+        unrouted.put(part.taken, part);
+        routeAt = Math.min(routeAt, now + ROUTE_AGAIN);
+    }
+
+    /**
+     * A part whose only answers prove that nothing ran met an extent that moved. It is taken back from the module, which
+     * has been told that the attempt did not run, and comes to it anew under the place that the map then says.
+     *
+     * <p>Later parts of its key that were not sent are taken back too, so that they come behind it again. It could hurt
+     * where the map service is silent while an extent moved: then the part comes back to the module after a while,
+     * each time as a new request that counts against its volume's limit again.
+     */
+    private void takeBack(Part part) {
+        unroute(part);
+        if (inOrder(part)) {
+            for (Part other : List.copyOf(parts.values())) {
+                if (other.key == part.key && other.taken > part.taken && inOrder(other) && !other.over
+                        && other.attempts == 0) {
+                    tell(new Abandoned(other.id));
+                    unroute(other);
+                }
+            }
+        }
+        places.stale();
+    }
+
+    /** The map has changed: what waits for it is routed anew, in the order it was taken. */
+    public void route() {
+        routeAt = Long.MAX_VALUE;
+        List<Part> waiting = List.copyOf(unrouted.values());
+        unrouted.clear();
+        for (Part part : waiting) {
+            Layout.Place place = places.at(part.operation.volume, part.offset);
+            deadlines.remove(part);
+            part.id = ++lastId;
+            deadlines.add(part);
+            part.unrouted = false;
+            part.attempts = 0;
+            part.routes++;
+            part.shard = place.shard();
+            part.version = place.version();
+            rerouted++;
+            arrive(part);
+        }
+    }
+
+    /** Parts routed anew so far. */
+    public long rerouted() {
+        return rerouted;
+    }
+
     // ---------------------------------------------------------------- from the module
 
     /** Starts an attempt; one that can't be started ends at once, in the next turn. */
@@ -259,13 +341,20 @@
             told = serve(part, answer);
             served = told == Outcome.OK;
         }
+        boolean moved = false;
         if (part != null) {
             part.open--;
+            part.mayHaveRun += told.provesNotRun() ? 0 : 1;
+            moved = answer != null && answer.result() == NodeMessage.Result.STALE && !part.over && part.open == 0
+                    && (part.mayHaveRun == 0 || part.operation.kind.effect() == Effect.REPEATABLE)
+                    && part.routes < ROUTES_MOST;
         }
         tell(new Ended(attempt.id(), attempt.number(), attempt.node(), told, now - attempt.sentAt(),
-                part == null || part.over, answer == null ? 0 : answer.cost(), answer == null ? 0 : answer.used(),
+                part == null || part.over || moved, answer == null ? 0 : answer.cost(), answer == null ? 0 : answer.used(),
                 answer == null ? Map.of() : answer.load()));
-        if (part != null) {
+        if (moved) {
+            takeBack(part);
+        } else if (part != null) {
             forget(part);
             if (served) {
                 finish(part.operation);
@@ -329,7 +418,9 @@
     private void forget(Part part) {
         if (part.over) {
             deadlines.remove(part);
-            if (part.open == 0) {
+            if (part.unrouted) {
+                unrouted.remove(part.taken);
+            } else if (part.open == 0) {
                 parts.remove(part.id);
             }
         }
@@ -339,6 +430,10 @@
 
     /** When a deadline must be looked at. */
     public long wakeAt() {
+        return Math.min(routeAt, deadlineAt());
+    }
+
+    private long deadlineAt() {
         return deadlines.isEmpty() ? Long.MAX_VALUE
                 : deadlines.first().validUntil + settings.scheduling().rules().answerSlack();
     }
@@ -348,11 +443,20 @@
      * turn that came late; it can't hurt, as the client has given up by then.
      */
     public void expire() {
-        while (now >= wakeAt()) {
+        if (now >= routeAt) {
+            route();
+        }
+        while (now >= deadlineAt()) {
             Part part = deadlines.first();
-            overdue++;
+            boolean lost = part.unrouted;
+            overdue += lost ? 0 : 1;
             tell(new Abandoned(part.id));
             over(part);
+            if (lost) {
+                part.operation.refused(part, settings.scheduling().maxStayAway());
+                finish(part.operation);
+                continue;
+            }
             part.operation.failed(part, "no decision before the deadline");
             finish(part.operation);
         }
--- a/core/src/main/java/garnetreel/core/desk/Part.java
+++ b/core/src/main/java/garnetreel/core/desk/Part.java
@@ -7,18 +7,27 @@
 
 /** One request as the module knows it: the part of an operation that lies in one extent. */
 final class Part {
-    final long id;
+    /** Id to the module; a new one each time the part is routed anew. */
+    long id;
+    /** Id at first, which tells the order in which parts were taken. */
+    final long taken;
     final Operation operation;
     final long offset;
     final int length;
-    final int shard;
-    final long version;
+    int shard;
+    long version;
     final int units;
     final long key;
     final long validUntil;
     /** For a flush: writes answered up to here are to be durable. */
     long flushUpTo;
     int attempts;
+    /** Attempts that may have run. */
+    int mayHaveRun;
+    /** Times it was routed anew. */
+    int routes;
+    /** It waits for the map and the module does not know of it. */
+    boolean unrouted;
     int open;
     boolean over;
     List<Stretch> stretches = List.of();
@@ -26,6 +35,7 @@
     Part(long id, Operation operation, long offset, int length, int shard, long version, int units, long key,
             long validUntil) {
         this.id = id;
+        this.taken = id;
         this.operation = operation;
         this.offset = offset;
         this.length = length;
--- a/core/src/main/java/garnetreel/core/io/NetAction.java
+++ b/core/src/main/java/garnetreel/core/io/NetAction.java
@@ -26,6 +26,9 @@
     /** Keeps bytes under a name so that they survive a kill; the last of a name wins. */
     record Persist(String name, byte[] data) implements NetAction { }
 
+    /** Adds a record to the machine's journal; Appended tells when it is durable. Records become durable in order. */
+    record Append(long seq, byte[] data) implements NetAction { }
+
     /** A line for the log. */
     record Note(Level level, String text) implements NetAction { }
 
--- a/core/src/main/java/garnetreel/core/io/NetEvent.java
+++ b/core/src/main/java/garnetreel/core/io/NetEvent.java
@@ -31,6 +31,9 @@
      */
     record Closed(long conn, boolean opened, String why) implements NetEvent { }
 
+    /** A record given with {@link NetAction.Append} is durable. */
+    record Appended(long seq) implements NetEvent { }
+
     /** An order from whoever runs the machine. */
     record Told(Order order) implements NetEvent { }
 
--- a/core/src/main/java/garnetreel/core/link/NodeLinks.java
+++ b/core/src/main/java/garnetreel/core/link/NodeLinks.java
@@ -262,7 +262,7 @@
             case OK -> Outcome.OK;
             case ERROR -> Outcome.ERROR;
             case FULL -> Outcome.FULL;
-            case MOOT -> Outcome.MOOT;
+            case MOOT, STALE -> Outcome.MOOT;
         };
         link.usedAt = now;
         end(link, attempt, outcome, answer);
--- a/emulator/src/main/java/garnetreel/emulator/World.java
+++ b/emulator/src/main/java/garnetreel/emulator/World.java
@@ -25,6 +25,8 @@
  */
 public final class World implements Stage {
     private static final int FIRST_PORT = 20_000;
+    /** Time in which a record of a journal becomes durable. */
+    private static final long DISK = 1_000;
 
     /** Delays of the network, in microseconds. */
     public record Delays(long least, long mean) { }
@@ -239,6 +241,13 @@
             }
         } else if (action instanceof NetAction.Unlisten unlisten) {
             bound.remove(site.listeners.get(unlisten.listener()));
+        } else if (action instanceof NetAction.Append append) {
+            at(now + DISK, 0, () -> {
+                if (!site.dead) { // what a killed machine had not made durable is lost
+                    site.keeper.append(append.seq(), append.data());
+                    hand(site, new NetEvent.Appended(append.seq()));
+                }
+            });
         } else if (action instanceof NetAction.Persist persist) {
             site.keeper.keep(persist.name(), persist.data());
         }
--- /dev/null
+++ b/map/src/main/java/garnetreel/map/ExtentMap.java
@@ -0,0 +1,133 @@
+package garnetreel.map;
+
+import garnetreel.codec.map.MapMessage.Change;
+import garnetreel.codec.map.MapMessage.Moved;
+import garnetreel.codec.map.MapMessage.VolumeMap;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Where the extents of one volume are: an immutable snapshot. A change makes a new snapshot that shares all chunks but
+ * those it touches, so that readers hold one state whole while the next is made.
+ *
+ * <p>An extent that never moved costs nothing: the first rule says where it is. Chunks of {@link #CHUNK} extents come
+ * into being when the first of them moves; a volume whose every extent has moved costs 12 bytes an extent.
+ */
+public final class ExtentMap {
+    /** Extents in a chunk: small enough to copy for one change, large enough that a million extents need few. */
+    static final int CHUNK = 512;
+    /** Version of an extent that never moved. */
+    public static final long FIRST = 1;
+
+    private static final class Chunk {
+        final int[] shards = new int[CHUNK];
+        /** 0 where the extent never moved. */
+        final long[] versions = new long[CHUNK];
+
+        Chunk copy() {
+            Chunk copy = new Chunk();
+            System.arraycopy(shards, 0, copy.shards, 0, CHUNK);
+            System.arraycopy(versions, 0, copy.versions, 0, CHUNK);
+            return copy;
+        }
+    }
+
+    private final long volume;
+    private final long extents;
+    private final int extentBytes;
+    private final int[] rule;
+    private final Chunk[] chunks;
+
+    private ExtentMap(long volume, long extents, int extentBytes, int[] rule, Chunk[] chunks) {
+        this.volume = volume;
+        this.extents = extents;
+        this.extentBytes = extentBytes;
+        this.rule = rule;
+        this.chunks = chunks;
+    }
+
+    /** A volume whose extents are where the first rule puts them: extent n at shard n modulo their number. */
+    public static ExtentMap of(long volume, long extents, int extentBytes, List<Integer> shards) {
+        if (extents <= 0 || extentBytes <= 0 || shards.isEmpty()) {
+            throw new IllegalArgumentException("a map needs extents and shards");
+        }
+        return new ExtentMap(volume, extents, extentBytes, shards.stream().mapToInt(Integer::intValue).toArray(),
+                new Chunk[Math.toIntExact((extents + CHUNK - 1) / CHUNK)]);
+    }
+
+    /** The map in a message. */
+    public static ExtentMap of(VolumeMap whole) {
+        ExtentMap map = of(whole.volume(), whole.extents(), whole.extentBytes(), whole.shards());
+        List<Change> changes = new ArrayList<>(whole.moved().size());
+        whole.moved().forEach(m -> changes.add(new Change(whole.volume(), m.extent(), m.shard(), m.version())));
+        return map.with(changes);
+    }
+
+    /** The same map with changes of this volume made, all of them or none seen. */
+    public ExtentMap with(List<Change> changes) {
+        Chunk[] next = chunks.clone();
+        boolean[] own = new boolean[chunks.length];
+        for (Change change : changes) {
+            if (change.volume() != volume) {
+                continue;
+            }
+            if (change.extent() < 0 || change.extent() >= extents) {
+                throw new IllegalArgumentException("volume " + volume + " has no extent " + change.extent());
+            }
+            int at = (int) (change.extent() / CHUNK);
+            if (!own[at]) {
+                next[at] = next[at] == null ? new Chunk() : next[at].copy();
+                own[at] = true;
+            }
+            int within = (int) (change.extent() % CHUNK);
+            next[at].shards[within] = change.shard();
+            next[at].versions[within] = change.version();
+        }
+        return new ExtentMap(volume, extents, extentBytes, rule, next);
+    }
+
+    /** Shard that holds an extent. */
+    public int shard(long extent) {
+        Chunk chunk = chunks[(int) (extent / CHUNK)];
+        int within = (int) (extent % CHUNK);
+        return chunk == null || chunk.versions[within] == 0 ? rule[(int) (extent % rule.length)]
+                : chunk.shards[within];
+    }
+
+    /** Version under which it does. */
+    public long version(long extent) {
+        Chunk chunk = chunks[(int) (extent / CHUNK)];
+        int within = (int) (extent % CHUNK);
+        return chunk == null || chunk.versions[within] == 0 ? FIRST : chunk.versions[within];
+    }
+
+    public long volume() {
+        return volume;
+    }
+
+    public long extents() {
+        return extents;
+    }
+
+    public int extentBytes() {
+        return extentBytes;
+    }
+
+    /** The map as a message. */
+    public VolumeMap whole() {
+        List<Moved> moved = new ArrayList<>();
+        for (int at = 0; at < chunks.length; at++) {
+            for (int within = 0; chunks[at] != null && within < CHUNK; within++) {
+                if (chunks[at].versions[within] != 0) {
+                    moved.add(new Moved((long) at * CHUNK + within, chunks[at].shards[within],
+                            chunks[at].versions[within]));
+                }
+            }
+        }
+        List<Integer> shards = new ArrayList<>();
+        for (int shard : rule) {
+            shards.add(shard);
+        }
+        return new VolumeMap(volume, extents, extentBytes, shards, moved);
+    }
+}
--- /dev/null
+++ b/map/src/test/java/garnetreel/map/ExtentMapTest.java
@@ -0,0 +1,77 @@
+package garnetreel.map;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import garnetreel.codec.map.MapMessage.Change;
+import garnetreel.codec.map.MapMessage.Changes;
+import garnetreel.codec.map.MapMessage.Moved;
+import garnetreel.codec.map.MapMessage.VolumeMap;
+import garnetreel.codec.map.MapMessage.Whole;
+import garnetreel.map.MapCache.Outcome;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ExtentMapTest {
+    private static final Whole BEGIN = new Whole(1, 1, List.of(new VolumeMap(7, 2000, 4096, List.of(0, 1, 2),
+            List.of())));
+
+    private static Changes changes(long epoch, long since, long version, Change... changes) {
+        return new Changes(epoch, since, version, List.of(changes));
+    }
+
+    @Test
+    void snapshotsDoNotChange() {
+        ExtentMap first = ExtentMap.of(BEGIN.volumes().get(0));
+        ExtentMap second = first.with(List.of(new Change(7, 1999, 9, 2)));
+        assertEquals(1999 % 3, first.shard(1999));
+        assertEquals(1, first.version(1999));
+        assertEquals(9, second.shard(1999));
+        assertEquals(List.of(new Moved(1999, 9, 2)), second.whole().moved());
+        assertThrows(IllegalArgumentException.class, () -> first.with(List.of(new Change(7, 2000, 1, 2))));
+    }
+
+    @Test
+    void changesOutOfOrderRepeatedOrWithAGap() {
+        MapCache cache = new MapCache();
+        assertEquals(Outcome.TAKEN, cache.take(BEGIN));
+        assertEquals(Outcome.GAP, cache.take(changes(1, 2, 3, new Change(7, 5, 4, 3))));
+        assertEquals(Outcome.TAKEN, cache.take(changes(1, 1, 2, new Change(7, 5, 3, 2))));
+        assertEquals(Outcome.KNOWN, cache.take(changes(1, 1, 2, new Change(7, 5, 3, 2))));
+        assertEquals(Outcome.TAKEN, cache.take(changes(1, 1, 3, new Change(7, 5, 3, 2), new Change(7, 5, 0, 3))));
+        assertEquals(0, cache.volume(7).shard(5));
+        assertEquals(3, cache.volume(7).version(5));
+    }
+
+    @Test
+    void serviceThatWentBackIsNotFollowedUntilANewEpoch() {
+        MapCache cache = new MapCache();
+        cache.take(BEGIN);
+        cache.take(changes(1, 1, 4, new Change(7, 5, 2, 4)));
+        assertEquals(Outcome.BACKWARDS, cache.take(BEGIN));
+        assertEquals(Outcome.BACKWARDS, cache.take(changes(1, 3, 3)));
+        assertEquals(2, cache.volume(7).shard(5));
+        assertEquals(Outcome.TAKEN, cache.take(new Whole(2, 1, BEGIN.volumes())));
+        assertEquals(5 % 3, cache.volume(7).shard(5));
+    }
+
+    @Test
+    void transactionsComeThroughTheLogAndBuildTheSameState() {
+        MapState state = new MapState(BEGIN, 0);
+        Move move = state.newMove(7, 5, 1);
+        Transaction begun = state.next(move, "somebody", 3, "why");
+        assertEquals(begun, Transaction.of(begun.bytes()));
+        state.apply(begun);
+        state.apply(begun); // a record that was applied before is passed over
+        assertThrows(IllegalArgumentException.class, () -> state.newMove(7, 5, 0));
+        Transaction switched = state.next(move.in(Move.State.SWITCHED), "mapd", 4, "copied");
+        state.apply(switched);
+        assertEquals(1, state.map(7).shard(5));
+        assertEquals(2, state.map(7).version(5));
+        state.apply(state.next(switched.move().in(Move.State.DONE), "mapd", 5, "released"));
+        assertEquals(List.of(), state.moves());
+        assertEquals(changes(1, 1, 2, new Change(7, 5, 1, 2)), state.since(1, 1));
+        assertEquals(state.whole(), state.since(0, 0));
+        assertThrows(IllegalStateException.class, () -> state.next(move.in(Move.State.SWITCHED), "late", 6, ""));
+    }
+}
--- /dev/null
+++ b/mapd/src/main/java/garnetreel/mapd/MapService.java
@@ -0,0 +1,501 @@
+package garnetreel.mapd;
+
+import garnetreel.codec.ByteQueue;
+import garnetreel.codec.ProtocolException;
+import garnetreel.codec.map.MapCodec;
+import garnetreel.codec.map.MapMessage;
+import garnetreel.codec.map.MapMessage.Busy;
+import garnetreel.codec.map.MapMessage.Changes;
+import garnetreel.codec.map.MapMessage.Command;
+import garnetreel.codec.map.MapMessage.Result;
+import garnetreel.codec.map.MapMessage.Subscribe;
+import garnetreel.codec.node.NodeMessage;
+import garnetreel.codec.node.NodeMessage.Report;
+import garnetreel.codec.node.NodeMessage.Step;
+import garnetreel.core.io.Machine;
+import garnetreel.core.io.NetAction;
+import garnetreel.core.io.NetAction.Level;
+import garnetreel.core.io.NetEvent;
+import garnetreel.core.link.ConnectionNumbers;
+import garnetreel.core.link.ListLink;
+import garnetreel.map.ExtentMap;
+import garnetreel.map.MapState;
+import garnetreel.map.Move;
+import garnetreel.map.MoveMachine;
+import garnetreel.map.Rebalancer;
+import garnetreel.map.Transaction;
+import garnetreel.policy.Scheduler.NodeNews;
+import garnetreel.policy.Scheduler.ListKind;
+import garnetreel.policy.Scheduler.NodeState;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * The map service: one machine that holds the maps durably, tells heads, carries out moves and decides on them with the
+ * {@link Rebalancer}. Each change is a transaction; nothing is told or acted on before it is durable.
+ */
+public final class MapService implements Machine {
+    /** The listener of heads and operators. */
+    public static final String LISTENER = "map";
+    private static final long SIGN_OF_LIFE = 1_000_000;
+    /** A step of a move that failed is asked again after this long. */
+    private static final long STEP_AGAIN = 100_000;
+    private static final long LOOK_EVERY = 1_000_000;
+    /** Advice to a head that came in a rush, times a chance of its own at the head. */
+    private static final long COME_BACK = 500_000;
+    /** Extents of a draining shard that are looked at a time. */
+    private static final int DRAIN_BATCH = 64;
+    private static final int ORDERS_A_TRANSACTION = 40;
+
+    /** Asks for a move, as a command does. */
+    public record MoveOrder(long volume, long extent, int to) implements NetEvent.Order { }
+
+    private static final class Peer {
+        final long conn;
+        final ByteQueue in = new ByteQueue();
+        boolean subscribed;
+        long version;
+
+        Peer(long conn) {
+            this.conn = conn;
+        }
+    }
+
+    private static final class Running {
+        final MoveMachine machine;
+        boolean waiting;
+        long notBefore;
+
+        Running(Move move) {
+            machine = new MoveMachine(move);
+        }
+    }
+
+    private record Commit(Supplier<Transaction> make, Consumer<Transaction> durable) { }
+
+    private final MapdSettings settings;
+    private final MapState state;
+    private final ListLink list;
+    private final NodeOrders nodes;
+    private final Rebalancer rebalancer;
+    private final Map<Long, Peer> peers = new TreeMap<>();
+    private final Map<Long, Running> moves = new TreeMap<>();
+    private final ArrayDeque<Commit> commits = new ArrayDeque<>();
+    private final Map<Integer, Double> loads = new HashMap<>();
+    private final Map<Integer, List<Rebalancer.Extent>> busiest = new HashMap<>();
+    private final TreeSet<Integer> draining = new TreeSet<>();
+    private List<NetAction> actions = new ArrayList<>();
+    private Transaction writing;
+    private Consumer<Transaction> writingDurable;
+    private boolean begun;
+    private boolean ready;
+    private long now;
+    private long signAt;
+    private long lookAt;
+    private long listAgainAt;
+    private boolean watching;
+    private double subscribeTokens;
+    private long tokensAt;
+    private double copyTokens;
+    private long refusedSubscribes;
+    private long bytesTold;
+
+    /** @param state what the journal and snapshot of earlier lives say */
+    public MapService(MapdSettings settings, MapState state) {
+        this.settings = settings;
+        this.state = state;
+        ConnectionNumbers numbers = new ConnectionNumbers();
+        this.nodes = new NodeOrders(numbers, settings.follower().incarnation(), settings.orderTimeout());
+        this.list = new ListLink(settings.follower(), numbers, this::listed);
+        this.rebalancer = new Rebalancer(settings.bounds());
+    }
+
+    @Override
+    public void turn(long time, List<NetEvent> events, List<NetAction> out) {
+        now = Math.max(now, time);
+        actions = out;
+        nodes.at(now, out);
+        list.at(now, out);
+        if (!begun) {
+            begin();
+        }
+        fill();
+        events.forEach(this::take);
+        list.expire();
+        nodes.expire();
+        if (!watching && now >= listAgainAt) {
+            watching = true;
+            list.watch(true);
+        }
+        if (ready) {
+            look();
+            moves.values().forEach(this::drive);
+            moves.values().removeIf(r -> r.machine.move().state().over());
+        }
+        write();
+        signOfLife();
+    }
+
+    private void begin() {
+        begun = true;
+        tokensAt = now;
+        signAt = now + SIGN_OF_LIFE;
+        lookAt = now + LOOK_EVERY;
+        actions.add(new NetAction.Listen(LISTENER, settings.listen()));
+        commits.add(new Commit(() -> state.note("mapd", now, "started"), t -> {
+            nodes.beginAt(t.seq() << ORDERS_A_TRANSACTION);
+            state.moves().forEach(m -> moves.put(m.id(), new Running(m)));
+            ready = true;
+        }));
+    }
+
+    private void fill() {
+        double seconds = (now - tokensAt) / 1e6;
+        tokensAt = now;
+        subscribeTokens = Math.min(settings.subscribes(), subscribeTokens + seconds * settings.subscribes());
+        copyTokens = Math.min(2 * MoveMachine.BATCH, copyTokens + seconds * settings.copyRate());
+    }
+
+    private void take(NetEvent event) {
+        if (event instanceof NetEvent.Received got) {
+            if (peers.containsKey(got.conn())) {
+                received(peers.get(got.conn()), got.data());
+            } else if (nodes.owns(got.conn())) {
+                nodes.received(got.conn(), got.data());
+            } else if (list.owns(got.conn())) {
+                list.received(got.data());
+            }
+        } else if (event instanceof NetEvent.Accepted accepted) {
+            peers.put(accepted.conn(), new Peer(accepted.conn()));
+        } else if (event instanceof NetEvent.Closed closed) {
+            if (peers.remove(closed.conn()) == null) {
+                if (nodes.owns(closed.conn())) {
+                    nodes.closed(closed.conn());
+                } else if (list.owns(closed.conn())) {
+                    list.closed();
+                }
+            }
+        } else if (event instanceof NetEvent.Connected connected) {
+            if (nodes.owns(connected.conn())) {
+                nodes.connected(connected.conn());
+            } else if (list.owns(connected.conn())) {
+                list.connected();
+            }
+        } else if (event instanceof NetEvent.Told told && told.order() instanceof MoveOrder order) {
+            begin(order.volume(), order.extent(), order.to(), "script", "asked for", move -> { });
+        } else if (event instanceof NetEvent.Appended appended && writing != null
+                && appended.seq() == writing.seq()) {
+            Transaction done = writing;
+            writing = null;
+            state.apply(done);
+            if (!done.changes().isEmpty()) {
+                tellChanges();
+            }
+            writingDurable.accept(done);
+        }
+    }
+
+    private void listed(NodeNews news) {
+        if (news.kind() == ListKind.REFUSED) {
+            watching = false;
+            listAgainAt = now + SIGN_OF_LIFE;
+        }
+        nodes.news(news);
+    }
+
+    // ---------------------------------------------------------------- transactions
+
+    /** One record at a time goes to the journal: the next one builds on it. */
+    private void write() {
+        while (writing == null && !commits.isEmpty()) {
+            Commit next = commits.poll();
+            try {
+                writing = next.make().get();
+            } catch (IllegalStateException | IllegalArgumentException e) {
+                actions.add(new NetAction.Note(Level.WARN, "not committed: " + e.getMessage()));
+                next.durable().accept(null);
+                continue;
+            }
+            writingDurable = next.durable();
+            actions.add(new NetAction.Append(writing.seq(), writing.bytes()));
+        }
+    }
+
+    // ---------------------------------------------------------------- heads and operators
+
+    private void received(Peer peer, ByteBuffer data) {
+        peer.in.add(data);
+        try {
+            MapMessage message;
+            while ((message = MapCodec.next(peer.in)) != null) {
+                if (message instanceof Subscribe subscribe) {
+                    subscribe(peer, subscribe);
+                } else if (message instanceof Command command) {
+                    Commands.run(this, command, result -> say(peer, result));
+                } else {
+                    throw new ProtocolException("a client sent a " + message.getClass().getSimpleName());
+                }
+            }
+        } catch (ProtocolException e) {
+            actions.add(new NetAction.Note(Level.WARN, e.getMessage()));
+            actions.add(new NetAction.Close(peer.conn, true));
+            peers.remove(peer.conn);
+        }
+    }
+
+    /**
+     * Guards the service against all heads coming back at once: it answers so many a second and tells the rest to come
+     * back. It could hurt a head that has no map at all, which waits so much longer for its first; it serves by the first
+     * rule meanwhile, and nodes refuse what moved.
+     */
+    private void subscribe(Peer peer, Subscribe subscribe) {
+        if (subscribeTokens < 1) {
+            refusedSubscribes++;
+            say(peer, new Busy(COME_BACK));
+            return;
+        }
+        subscribeTokens--;
+        peer.subscribed = true;
+        peer.version = state.version();
+        say(peer, state.since(subscribe.epoch(), subscribe.version()));
+    }
+
+    private void say(Peer peer, MapMessage message) {
+        if (peers.get(peer.conn) == peer) {
+            ByteBuffer frame = MapCodec.frame(message);
+            bytesTold += frame.remaining();
+            actions.add(new NetAction.Write(peer.conn, frame));
+        }
+    }
+
+    private void tellChanges() {
+        for (Peer peer : peers.values()) {
+            if (peer.subscribed) {
+                say(peer, state.since(state.epoch(), peer.version));
+                peer.version = state.version();
+            }
+        }
+    }
+
+    private void signOfLife() {
+        if (now >= signAt) {
+            signAt = now + SIGN_OF_LIFE;
+            peers.values().forEach(p -> {
+                if (p.subscribed) {
+                    say(p, new Changes(state.epoch(), state.version(), state.version(), List.of()));
+                }
+            });
+        }
+    }
+
+    // ---------------------------------------------------------------- moves
+
+    /** Begins a move; {@code done} is told the move, or null where it could not begin. */
+    void begin(long volume, long extent, int to, String who, String why, Consumer<Move> done) {
+        commits.add(new Commit(() -> state.next(state.newMove(volume, extent, to), who, now, why), t -> {
+            if (t != null) {
+                moves.put(t.move().id(), new Running(t.move()));
+            }
+            done.accept(t == null ? null : t.move());
+        }));
+    }
+
+    private void drive(Running run) {
+        while (!run.waiting && now >= run.notBefore) {
+            MoveMachine.Next next = run.machine.next();
+            if (next instanceof MoveMachine.Ask ask) {
+                ask(run, ask);
+            } else if (next instanceof MoveMachine.Commit commit) {
+                run.waiting = true;
+                Move to = new Move(run.machine.move().id(), run.machine.move().volume(), run.machine.move().extent(),
+                        run.machine.move().from(), run.machine.move().to(), run.machine.move().oldVersion(),
+                        run.machine.move().newVersion(), commit.state());
+                commits.add(new Commit(() -> state.next(to, "mapd", now, commit.why()), t -> {
+                    run.waiting = false;
+                    if (t != null) {
+                        run.machine.durable(t.move());
+                        if (t.move().state() == Move.State.SWITCHED) {
+                            rebalancer.moved(to.volume(), to.extent(), now);
+                        }
+                    } else {
+                        run.machine.abort("the extent changed meanwhile");
+                    }
+                }));
+            } else {
+                return;
+            }
+        }
+    }
+
+    private void ask(Running run, MoveMachine.Ask ask) {
+        if (ask.step() == Step.TAKE) {
+            if (copyTokens < 0) {
+                run.notBefore = now + (long) (-copyTokens * 1e6 / settings.copyRate()) + 1;
+                return;
+            }
+            copyTokens -= ask.room();
+        }
+        NodeOrders.Node node = nodes.reachable(ask.shard());
+        if (node == null) {
+            run.machine.failed();
+            run.notBefore = now + STEP_AGAIN;
+            return;
+        }
+        Move move = run.machine.move();
+        ExtentMap map = state.map(move.volume());
+        run.waiting = true;
+        nodes.send(node, ask.step(), move.volume(), move.extent(), map.extentBytes(), ask.version(), ask.room(),
+                ask.data(), report -> {
+                    run.waiting = false;
+                    if (report == null) {
+                        run.machine.failed();
+                        run.notBefore = now + STEP_AGAIN;
+                        return;
+                    }
+                    if (!report.ok()) {
+                        // A fence whose work is not done is asked again soon; it holds the extent's clients.
+                        run.notBefore = now + (ask.step() == Step.FENCE ? STEP_AGAIN / 50 : STEP_AGAIN);
+                    } else if (ask.step() == Step.TAKE) {
+                        copyTokens += ask.room() - report.data().remaining();
+                    }
+                    run.machine.reported(report);
+                });
+    }
+
+    // ---------------------------------------------------------------- what to move
+
+    private void look() {
+        if (now < lookAt) {
+            return;
+        }
+        lookAt = now + LOOK_EVERY;
+        for (NodeOrders.Node node : nodes.nodes()) {
+            if (node.open) {
+                int shard = node.entry.shard();
+                nodes.send(node, Step.LOAD, 0, 0, 0, 0, 0, NodeMessage.none(), report -> load(shard, report));
+            }
+        }
+        if (!settings.rebalance() && draining.isEmpty()) {
+            return;
+        }
+        List<Rebalancer.Shard> shards = new ArrayList<>();
+        for (NodeOrders.Node node : nodes.nodes()) {
+            int shard = node.entry.shard();
+            boolean cold = node.entry.startedAt() > 0 && now - node.entry.startedAt() < settings.coldFor();
+            shards.add(new Rebalancer.Shard(shard, loads.getOrDefault(shard, 0.0), settings.power(),
+                    draining.contains(shard) || node.entry.state() == NodeState.DRAINING && settings.rebalance(), cold,
+                    node.open));
+        }
+        List<Rebalancer.Extent> extents = new ArrayList<>();
+        if (settings.rebalance()) {
+            busiest.values().forEach(extents::addAll);
+        }
+        draining.forEach(shard -> extents.addAll(held(shard)));
+        for (Rebalancer.Wish wish : rebalancer.wishes(now, shards, extents, state.moves())) {
+            begin(wish.volume(), wish.extent(), wish.to(), "rebalancer", wish.why(), move -> { });
+        }
+    }
+
+    private void load(int shard, Report report) {
+        if (report == null) {
+            return;
+        }
+        ByteBuffer data = report.data().duplicate();
+        loads.put(shard, data.getDouble());
+        List<Rebalancer.Extent> extents = new ArrayList<>();
+        while (data.remaining() >= 24) {
+            long volume = data.getLong();
+            long extent = data.getLong();
+            double load = data.getDouble();
+            ExtentMap map = state.map(volume);
+            if (map != null && extent < map.extents() && map.shard(extent) == shard) {
+                extents.add(new Rebalancer.Extent(volume, extent, shard, load));
+            }
+        }
+        busiest.put(shard, extents);
+    }
+
+    /** Some of the extents that a shard holds. */
+    private List<Rebalancer.Extent> held(int shard) {
+        List<Rebalancer.Extent> held = new ArrayList<>();
+        for (var volume : state.whole().volumes()) {
+            ExtentMap map = state.map(volume.volume());
+            for (long extent = 0; extent < map.extents() && held.size() < DRAIN_BATCH; extent++) {
+                if (map.shard(extent) == shard) {
+                    held.add(new Rebalancer.Extent(volume.volume(), extent, shard, 0));
+                }
+            }
+        }
+        return held;
+    }
+
+    // ---------------------------------------------------------------- for commands
+
+    MapState state() {
+        return state;
+    }
+
+    TreeSet<Integer> draining() {
+        return draining;
+    }
+
+    void commit(Supplier<Transaction> make, Consumer<Transaction> durable) {
+        commits.add(new Commit(make, durable));
+    }
+
+    boolean abort(long move, String why) {
+        Running run = moves.get(move);
+        if (run == null || run.machine.move().state() == Move.State.SWITCHED) {
+            return false;
+        }
+        run.machine.abort(why);
+        return true;
+    }
+
+    long now() {
+        return now;
+    }
+
+    int heads() {
+        return (int) peers.values().stream().filter(p -> p.subscribed).count();
+    }
+
+    /** Bytes told to heads so far, and subscribes that were told to come back. */
+    public long bytesTold() {
+        return bytesTold;
+    }
+
+    public long refusedSubscribes() {
+        return refusedSubscribes;
+    }
+
+    /** Moves that are not over. */
+    public int movesUnderWay() {
+        return moves.size();
+    }
+
+    @Override
+    public long wakeAt() {
+        if (!begun) {
+            return now;
+        }
+        long next = Math.min(Math.min(signAt, lookAt), Math.min(nodes.wakeAt(), list.wakeAt()));
+        if (!watching) {
+            next = Math.min(next, listAgainAt);
+        }
+        for (Running run : moves.values()) {
+            if (!run.waiting) {
+                next = Math.min(next, Math.max(now, run.notBefore));
+            }
+        }
+        return next;
+    }
+}
--- /dev/null
+++ b/mapd/src/main/java/garnetreel/mapd/NodeOrders.java
@@ -0,0 +1,201 @@
+package garnetreel.mapd;
+
+import garnetreel.codec.ByteQueue;
+import garnetreel.codec.ProtocolException;
+import garnetreel.codec.node.NodeCodec;
+import garnetreel.codec.node.NodeMessage;
+import garnetreel.codec.node.NodeMessage.Hello;
+import garnetreel.codec.node.NodeMessage.Order;
+import garnetreel.codec.node.NodeMessage.Report;
+import garnetreel.codec.node.NodeMessage.Welcome;
+import garnetreel.core.io.NetAction;
+import garnetreel.core.link.ConnectionNumbers;
+import garnetreel.policy.Scheduler.ListKind;
+import garnetreel.policy.Scheduler.NodeEntry;
+import garnetreel.policy.Scheduler.NodeNews;
+import garnetreel.policy.Scheduler.NodeState;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** Connections of the map service to nodes, one each, and the orders that are out on them. */
+final class NodeOrders {
+    private static final long RECONNECT = 200_000;
+
+    /** A node that the list names. */
+    static final class Node {
+        final NodeEntry entry;
+        long conn;
+        boolean open;
+        long againAt;
+        ByteQueue in = new ByteQueue();
+
+        Node(NodeEntry entry) {
+            this.entry = entry;
+        }
+    }
+
+    private record Out(long conn, long until, Consumer<Report> report) { }
+
+    private final ConnectionNumbers numbers;
+    private final long incarnation;
+    private final long timeout;
+    private final Map<String, Node> nodes = new TreeMap<>();
+    private final Map<Long, Node> byConn = new HashMap<>();
+    private final TreeMap<Long, Out> out = new TreeMap<>();
+    private List<NetAction> actions = new ArrayList<>();
+    private long now;
+    private long lastSeq;
+
+    NodeOrders(ConnectionNumbers numbers, long incarnation, long timeout) {
+        this.numbers = numbers;
+        this.incarnation = incarnation;
+        this.timeout = timeout;
+    }
+
+    void at(long time, List<NetAction> to) {
+        now = time;
+        actions = to;
+    }
+
+    /** Orders count up over all lives of the service: what an earlier life sent is older at any node. */
+    void beginAt(long seq) {
+        lastSeq = seq;
+    }
+
+    void news(NodeNews news) {
+        if (news.kind() == ListKind.REFUSED) {
+            return;
+        }
+        if (news.kind() == ListKind.ALL) {
+            List<String> named = news.entries().stream().map(NodeEntry::address).toList();
+            List.copyOf(nodes.values()).stream().filter(n -> !named.contains(n.entry.address())).forEach(this::gone);
+        }
+        for (NodeEntry entry : news.entries()) {
+            Node old = nodes.get(entry.address());
+            if (entry.state() == NodeState.GONE) {
+                if (old != null) {
+                    gone(old);
+                }
+                continue;
+            }
+            Node node = new Node(entry);
+            if (old != null) {
+                node.conn = old.conn;
+                node.open = old.open;
+                node.in = old.in;
+                byConn.replace(node.conn, node);
+            }
+            nodes.put(entry.address(), node);
+        }
+    }
+
+    private void gone(Node node) {
+        nodes.remove(node.entry.address());
+        if (node.conn != 0) {
+            actions.add(new NetAction.Close(node.conn, true));
+            ended(node);
+        }
+    }
+
+    boolean owns(long conn) {
+        return byConn.containsKey(conn);
+    }
+
+    Iterable<Node> nodes() {
+        return nodes.values();
+    }
+
+    /** The node of a shard that can be told something now; null when there is none. */
+    Node reachable(int shard) {
+        for (Node node : nodes.values()) {
+            if (node.entry.shard() == shard && node.open) {
+                return node;
+            }
+        }
+        return null;
+    }
+
+    /** Sends an order; the report, or null where there is none, comes exactly once and never in this call. */
+    void send(Node node, NodeMessage.Step step, long volume, long extent, int extentBytes, long version, int room,
+            ByteBuffer data, Consumer<Report> report) {
+        Order order = new Order(++lastSeq, step, volume, extent, extentBytes, version, room, data);
+        out.put(order.seq(), new Out(node.conn, now + timeout, report));
+        actions.add(new NetAction.Write(node.conn, NodeCodec.frame(order)));
+    }
+
+    void connected(long conn) {
+        actions.add(new NetAction.Write(conn, NodeCodec.frame(new Hello(-1, incarnation))));
+    }
+
+    void closed(long conn) {
+        ended(byConn.get(conn));
+    }
+
+    private void ended(Node node) {
+        long conn = node.conn;
+        byConn.remove(conn);
+        node.conn = 0;
+        node.open = false;
+        node.in = new ByteQueue();
+        node.againAt = now + RECONNECT;
+        for (Map.Entry<Long, Out> entry : List.copyOf(out.entrySet())) {
+            if (entry.getValue().conn() == conn) {
+                out.remove(entry.getKey());
+                entry.getValue().report().accept(null);
+            }
+        }
+    }
+
+    void received(long conn, ByteBuffer data) {
+        Node node = byConn.get(conn);
+        node.in.add(data);
+        try {
+            NodeMessage message;
+            while (node.conn == conn && (message = NodeCodec.next(node.in)) != null) {
+                if (message instanceof Welcome) {
+                    node.open = true;
+                } else if (message instanceof Report report) {
+                    Out order = out.remove(report.seq());
+                    if (order != null) {
+                        order.report().accept(report);
+                    }
+                }
+            }
+        } catch (ProtocolException e) {
+            actions.add(new NetAction.Note(NetAction.Level.WARN, "node " + node.entry.address() + ": "
+                    + e.getMessage()));
+            actions.add(new NetAction.Close(conn, true));
+            ended(node);
+        }
+    }
+
+    /** Connects to nodes that are listed, and gives up on orders that no report came to. */
+    void expire() {
+        for (Node node : nodes.values()) {
+            if (node.conn == 0 && now >= node.againAt) {
+                node.conn = numbers.next();
+                byConn.put(node.conn, node);
+                actions.add(new NetAction.Connect(node.conn, node.entry.address()));
+            }
+        }
+        while (!out.isEmpty() && out.firstEntry().getValue().until() <= now) {
+            Out order = out.pollFirstEntry().getValue();
+            order.report().accept(null);
+        }
+    }
+
+    long wakeAt() {
+        long next = out.isEmpty() ? Long.MAX_VALUE : out.firstEntry().getValue().until();
+        for (Node node : nodes.values()) {
+            if (node.conn == 0) {
+                next = Math.min(next, node.againAt);
+            }
+        }
+        return next;
+    }
+}
--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -41,6 +41,11 @@
     @FunctionalInterface
     public interface Keeper {
         void keep(String name, byte[] data);
+
+        /** Makes a record of the journal durable, then runs {@code durable}, on any thread. */
+        default void append(long seq, byte[] data, Runnable durable) {
+            durable.run();
+        }
     }
 
     private static final int BACKLOG = 1024;
@@ -225,6 +230,8 @@
             IoUtils.safeClose(listeners.remove(unlisten.listener()));
         } else if (action instanceof NetAction.Persist persist) {
             keeper.keep(persist.name(), persist.data());
+        } else if (action instanceof NetAction.Append append) {
+            keeper.append(append.seq(), append.data(), () -> inbox.add(new NetEvent.Appended(append.seq())));
         } else if (action instanceof NetAction.Note note) {
             switch (note.level()) {
                 case DEBUG -> log.debug(note.text());
--- a/standin/src/main/java/garnetreel/standin/client/LoadSettings.java
+++ b/standin/src/main/java/garnetreel/standin/client/LoadSettings.java
@@ -28,7 +28,7 @@
     public record Times(long read, long write, long flush) {
         long of(String op) {
             return switch (op) {
-                case "read" -> read;
+                case "read", "verify" -> read;
                 case "write" -> write;
                 default -> flush;
             };
--- a/standin/src/main/java/garnetreel/standin/client/Pages.java
+++ b/standin/src/main/java/garnetreel/standin/client/Pages.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -72,6 +73,12 @@
         return pages.computeIfAbsent(offset / Disk.PAGE, any -> new Page());
     }
 
+    /** Places of a size at which anything was written, in order. */
+    List<Long> written(int slotBytes) {
+        return pages.keySet().stream().map(page -> page * Disk.PAGE / slotBytes * slotBytes).distinct().sorted()
+                .toList();
+    }
+
     /** Pages written with unknown fate so far. */
     long unsettled() {
         return unsettled;
--- a/standin/src/main/java/garnetreel/standin/day/DayRunner.java
+++ b/standin/src/main/java/garnetreel/standin/day/DayRunner.java
@@ -1,11 +1,16 @@
 package garnetreel.standin.day;
 
+import garnetreel.codec.map.MapMessage.VolumeMap;
 import garnetreel.codec.nodelist.ListMessage.Entry;
 import garnetreel.codec.nodelist.ListMessage.State;
 import garnetreel.core.Head;
 import garnetreel.core.HeadSettings;
 import garnetreel.core.io.Machine;
 import garnetreel.core.link.ListLink;
+import garnetreel.core.link.MapLink;
+import garnetreel.map.MapState;
+import garnetreel.map.Transaction;
+import garnetreel.mapd.MapService;
 import garnetreel.standin.client.ClientMachine;
 import garnetreel.standin.client.LoadSettings;
 import garnetreel.standin.list.ListMachine;
@@ -38,9 +43,10 @@
 
     /** How a day went. */
     public record Result(Map<String, Map<String, ClientMachine.Tally>> tallies, List<Verdict> verdicts,
-            List<TraceEvent> events) {
+            List<TraceEvent> events, int unverified) {
+        /** All rules kept, and each place that was written read back. */
         public boolean kept() {
-            return verdicts.stream().allMatch(Verdict::kept);
+            return unverified == 0 && verdicts.stream().allMatch(Verdict::kept);
         }
     }
 
@@ -85,9 +91,9 @@
 
         void start() {
             HeadSettings settings = day.head().apply(new DaySettings.Place(number, stage.now(), address,
-                    listAddress));
+                    listAddress, mapAddress));
             Machine head = wrapper.apply(new Head(settings, day.scheduler().apply(settings.scheduling(),
-                    random.nextLong()), kept.get(ListLink.REMEMBERED)));
+                    random.nextLong()), kept.get(ListLink.REMEMBERED), kept.get(MapLink.REMEMBERED)));
             actor = stage.launch("head-" + number, head, (name, data) -> {
                 synchronized (kept) {
                     kept.put(name, data);
@@ -109,8 +115,11 @@
     private final Map<String, ClientMachine> loads = new LinkedHashMap<>();
     private final PriorityQueue<Step> steps = new PriorityQueue<>((a, b) -> a.at() != b.at()
             ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+    private final List<byte[]> mapJournal = new ArrayList<>();
+    private Stage.Actor map;
     private Stage.Actor list;
     private String listAddress = ANY_PORT;
+    private String mapAddress = "";
     private long stepCount;
 
     /**
@@ -138,6 +147,10 @@
         // The address of the list was not known before: nodes register from their second life on, and the first is
         // told to the list by a keeper of its own.
         nodes.values().forEach(n -> n.actor.tell(new NodeMachine.ListAt(listAddress)));
+        if (day.map() != null) {
+            mapAddress = ANY_PORT;
+            startMap();
+        }
         for (int head = 0; head < day.heads(); head++) {
             HeadSite site = new HeadSite(head);
             heads.add(site);
@@ -153,6 +166,7 @@
         }
         long begin = stage.now();
         day.troubles().forEach(t -> schedule(begin, t));
+        scheduleMoves(begin);
         while (!steps.isEmpty()) {
             Step step = steps.poll();
             stage.advance(step.at());
@@ -163,10 +177,49 @@
         heads.forEach(h -> h.actor.kill());
         nodes.values().forEach(n -> n.actor.kill());
         list.kill();
+        if (map != null) {
+            map.kill();
+        }
         Map<String, Map<String, ClientMachine.Tally>> tallies = new LinkedHashMap<>();
         loads.forEach((name, client) -> tallies.put(name, client.tallies()));
         List<TraceEvent> events = memory.events();
-        return new Result(tallies, RulesChecker.judge(day.rules(), events), events);
+        return new Result(tallies, RulesChecker.judge(day.rules(), events), events,
+                loads.values().stream().mapToInt(ClientMachine::unverified).sum());
+    }
+
+    private void startMap() {
+        MapState state = new MapState(day.map().begin(), 0);
+        synchronized (mapJournal) {
+            mapJournal.forEach(record -> state.apply(Transaction.of(record)));
+        }
+        map = stage.launch("mapd", new MapService(day.map().settings().apply(mapAddress, listAddress), state),
+                new Stage.Keeper() {
+                    @Override
+                    public void keep(String name, byte[] data) {
+                        // Its state is in its journal.
+                    }
+
+                    @Override
+                    public void append(long seq, byte[] data) {
+                        synchronized (mapJournal) {
+                            mapJournal.add(data);
+                        }
+                    }
+                });
+        mapAddress = map.address(MapService.LISTENER);
+    }
+
+    /** Extents chosen by chance go to another shard of the day, one after the other. */
+    private void scheduleMoves(long begin) {
+        int moves = day.map() == null ? 0 : day.map().moves();
+        List<VolumeMap> volumes = moves == 0 ? List.of() : day.map().begin().volumes();
+        List<Integer> shards = nodes.values().stream().map(n -> n.settings.shard()).toList();
+        for (int i = 0; i < moves; i++) {
+            VolumeMap volume = volumes.get(random.nextInt(volumes.size()));
+            MapService.MoveOrder order = new MapService.MoveOrder(volume.volume(),
+                    random.nextLong(volume.extents()), shards.get(random.nextInt(shards.size())));
+            at(begin + day.length() * i / moves, () -> map.tell(order));
+        }
     }
 
     private void startList(List<Entry> entries) {
@@ -224,6 +277,11 @@
                 // It comes back knowing nothing; nodes register with it anew.
                 at(to, () -> startList(List.of()));
             }
+            case MAP_CRASH -> {
+                at(from, () -> map.kill());
+                at(to, this::startMap);
+            }
+            case MAP_STALL -> at(from, () -> map.stall(t.length()));
             case HEAD_CRASH -> t.heads().forEach(h -> {
                 at(from, () -> heads.get(h).actor.kill());
                 at(to, () -> heads.get(h).start());
--- a/standin/src/main/java/garnetreel/standin/day/DaySettings.java
+++ b/standin/src/main/java/garnetreel/standin/day/DaySettings.java
@@ -1,6 +1,8 @@
 package garnetreel.standin.day;
 
+import garnetreel.codec.map.MapMessage.Whole;
 import garnetreel.core.HeadSettings;
+import garnetreel.mapd.MapdSettings;
 import garnetreel.policy.Scheduler;
 import garnetreel.standin.client.LoadSettings;
 import garnetreel.standin.node.NodeSettings;
@@ -16,25 +18,35 @@
  * @param head settings of a head from its place
  * @param scheduler the decision module of a head, from its settings and a seed
  * @param loads by the head addresses of the day
- * @param startsAt time of the epoch at which an emulated day begins
+ * @param map null where volumes stay under their first rule
  */
 public record DaySettings(String name, long seed, long length, long settle, int heads, List<NodeSettings> nodes,
         long listLag, Function<Place, HeadSettings> head, BiFunction<Scheduler.Settings, Long, Scheduler> scheduler,
-        Function<List<String>, List<LoadSettings>> loads, List<Trouble> troubles, RuleSettings rules) {
+        Function<List<String>, List<LoadSettings>> loads, List<Trouble> troubles, RuleSettings rules,
+        MapDay map) {
+
+    /**
+     * The map service of a day.
+     *
+     * @param settings of the service, from where it listens and where the list is
+     * @param begin the maps at first
+     * @param moves scripted moves in all, dealt out evenly over the day
+     */
+    public record MapDay(BiFunction<String, String, MapdSettings> settings, Whole begin, int moves) { }
 
     /** Where a head of the day is. */
-    public record Place(int head, long incarnation, String listen, String list) { }
+    public record Place(int head, long incarnation, String listen, String list, String map) { }
 
     /** The same day with another seed. */
     public DaySettings withSeed(long other) {
         return new DaySettings(name, other, length, settle, heads, nodes, listLag, head, scheduler, loads, troubles,
-                rules);
+                rules, map);
     }
 
     /** The same day with heads of another kind. */
     public DaySettings withHeads(Function<Place, HeadSettings> otherHead,
             BiFunction<Scheduler.Settings, Long, Scheduler> otherScheduler) {
         return new DaySettings(name, seed, length, settle, heads, nodes, listLag, otherHead, otherScheduler, loads,
-                troubles, rules);
+                troubles, rules, map);
     }
 }
--- a/standin/src/main/java/garnetreel/standin/day/Stage.java
+++ b/standin/src/main/java/garnetreel/standin/day/Stage.java
@@ -21,6 +21,9 @@
         Keeper NONE = (name, data) -> { };
 
         void keep(String name, byte[] data);
+
+        /** Makes a record of the journal durable. */
+        default void append(long seq, byte[] data) { }
     }
 
     /** A machine that runs. */
--- a/standin/src/main/java/garnetreel/standin/day/Trouble.java
+++ b/standin/src/main/java/garnetreel/standin/day/Trouble.java
@@ -24,6 +24,10 @@
         /** The list shows changes {@code amount} seconds late. */
         LIST_LAG,
         LIST_FAIL, LIST_SILENT, LIST_CRASH,
+        /** The map service is killed, and comes back with its journal. */
+        MAP_CRASH,
+        /** The map service gets no turn. */
+        MAP_STALL,
         /** Heads are killed, and come back. */
         HEAD_CRASH,
         /** Heads get no turn. */
--- a/standin/src/main/java/garnetreel/standin/node/Disk.java
+++ b/standin/src/main/java/garnetreel/standin/node/Disk.java
@@ -58,11 +58,31 @@
     /** A keyed request, known within one life of a head. */
     public record Done(int head, long incarnation, long id) { }
 
+    private final Holds holds = new Holds();
     private final Map<Long, Page> durable = new HashMap<>();
     private final Map<Long, Page> unflushed = new HashMap<>();
     private final Map<Done, Long> doneDurable = new HashMap<>();
     private final Map<Done, Long> doneUnflushed = new HashMap<>();
 
+    /** Which extents are served; durable as it changes. */
+    Holds holds() {
+        return holds;
+    }
+
+    /** Whether anything is kept of the page at an offset. */
+    boolean exists(long volume, long offset) {
+        Page page = page(volume, offset / PAGE);
+        return page != null && page != TRIMMED;
+    }
+
+    /** Gives up a range, durably: the extent is elsewhere. */
+    void discard(long volume, long offset, long length) {
+        for (long index = offset / PAGE; index < (offset + length) / PAGE; index++) {
+            unflushed.remove(volume * VOLUME_STEP + index);
+            durable.remove(volume * VOLUME_STEP + index);
+        }
+    }
+
     private Page page(long volume, long index) {
         long key = volume * VOLUME_STEP + index;
         Page page = unflushed.get(key);
@@ -170,6 +190,7 @@
     public void crash() {
         unflushed.clear();
         doneUnflushed.clear();
+        holds.crash();
     }
 
     /** Flips a bit of a page that is kept; false when there is none. For tests of damage. */
--- a/standin/src/main/java/garnetreel/standin/node/NodeMachine.java
+++ b/standin/src/main/java/garnetreel/standin/node/NodeMachine.java
@@ -88,6 +88,8 @@
     private final Trace trace;
     private final SplittableRandom random;
     private final long life;
+    private final Mover mover;
+    private final LoadMeter meter = new LoadMeter();
     private final Map<Long, Peer> peers = new TreeMap<>();
     private final ArrayDeque<Job> queue = new ArrayDeque<>();
     /** What is in work, by the time it ends. */
@@ -127,6 +129,7 @@
         this.trace = trace;
         this.random = new SplittableRandom(seed);
         this.life = life;
+        this.mover = new Mover(disk, life);
     }
 
     @Override
@@ -261,6 +264,8 @@
                 } else if (message instanceof Cancel cancel) {
                     queue.removeIf(job -> job.peer == peer && job.request.id() == cancel.id()
                             && job.request.attempt() == cancel.attempt());
+                } else if (message instanceof NodeMessage.Order order) {
+                    order(peer, order);
                 } else if (message instanceof Probe probe) {
                     write(peer, new Probed(probe.id(), life, load()));
                 } else {
@@ -283,6 +288,8 @@
             answer(peer, request, Result.ERROR, NodeMessage.none());
         } else if (request.shard() != settings.shard()) {
             answer(peer, request, Result.MOOT, NodeMessage.none());
+        } else if (stale(peer, request)) {
+            return;
         } else if (queue.size() >= settings.queue() || now >= drainAt) {
             answer(peer, request, Result.FULL, NodeMessage.none());
         } else {
@@ -290,6 +297,38 @@
         }
     }
 
+    /** An order of the map service. What it costs the node counts as its work does: it goes through no queue here. */
+    private void order(Peer peer, NodeMessage.Order order) {
+        if (mute()) {
+            return;
+        }
+        if (order.step() == NodeMessage.Step.LOAD) {
+            write(peer, new NodeMessage.Report(order.seq(), true, false, life, 0, meter.take(now)));
+            return;
+        }
+        boolean inWork = false;
+        for (List<Job> jobs : working.values()) {
+            for (Job job : jobs) {
+                inWork |= disk.holds().same(order.volume(), order.extent(), job.request.volume(),
+                        job.request.offset());
+            }
+        }
+        NodeMessage.Report report = mover.carryOut(order, inWork);
+        trace.add(new TraceEvent(now, settings.name(), "map", Kind.STEP, 0, order.seq(), 0, life,
+                order.step().name().toLowerCase(Locale.ROOT), order.volume(), settings.shard(), 0, order.version(),
+                order.extent(), 0, 0, report.ok() ? "ok" : "no"));
+        write(peer, report);
+    }
+
+    private boolean stale(Peer peer, Request request) {
+        if (request.op() == Op.FLUSH || disk.holds().serves(request.volume(), request.offset(), request.version())) {
+            return false;
+        }
+        answer(peer, request, Result.STALE, ByteBuffer.allocate(Long.BYTES)
+                .putLong(disk.holds().known(request.volume(), request.offset())).flip());
+        return true;
+    }
+
     /** All that reaches a cold node presses on it, also what it turns away. */
     private void pressed(int units) {
         if (settings.startedLongAgo() || settings.fall() <= 0 || now - startedAt >= settings.warmWithin()) {
@@ -368,6 +407,9 @@
             if (now >= job.request.deadline()) {
                 continue; // whoever asked has given up, and may have written something newer
             }
+            if (stale(job.peer, job.request)) {
+                continue; // it was fenced while it waited
+            }
             long time = time(job.request);
             if (time <= 0) {
                 finish(job);
@@ -398,6 +440,11 @@
         } else {
             try {
                 data = execute(request);
+                if (request.op().changes()) {
+                    disk.holds().changed(request.volume(), request.offset(), request.length());
+                }
+                meter.served(request.volume(), disk.holds().extentOf(request.volume(), request.offset()),
+                        request.units(), now);
                 if (request.dropsRepeats()) {
                     disk.done(done, now);
                 }
--- a/standin/src/main/java/garnetreel/standin/trace/TraceEvent.java
+++ b/standin/src/main/java/garnetreel/standin/trace/TraceEvent.java
@@ -27,6 +27,8 @@
         ARRIVE, RUN, REPEAT, ANSWER,
         /** A node started, at the address in {@code op}, or fell over under what it was sent while cold. */
         START, FELL,
+        /** A node carried out a step of a move: {@code key} is the extent. */
+        STEP,
         /** A stand-in was made to misbehave, or no longer. */
         FAULT,
         /** The list told a head of a node's state: {@code outcome} has it, {@code op} the node's address. */
