--- a/cli/src/main/java/garnetreel/cli/Main.java
+++ b/cli/src/main/java/garnetreel/cli/Main.java
@@ -10,7 +10,7 @@
 @Command(name = "garnetreel", mixinStandardHelpOptions = true, version = "garnetreel 0.2.0",
         description = "A storage gateway that schedules a host's reads and writes over storage nodes.",
         subcommands = {DevCommand.class, ServeCommand.class, NodeCommand.class, NodeListCommand.class,
-            CheckConfigCommand.class, DayCommand.class, BenchCommand.class, CommandLine.HelpCommand.class})
+            CheckConfigCommand.class, DayCommand.class, BenchCommand.class, MapdCommand.class, MapCommand.class, CommandLine.HelpCommand.class})
 public final class Main {
     static final int FINE = 0;
     static final int FAILED = 1;
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/MapdCommand.java
@@ -0,0 +1,64 @@
+package garnetreel.cli;
+
+import garnetreel.cli.config.Settings;
+import garnetreel.cli.config.SettingsException;
+import garnetreel.map.MapState;
+import garnetreel.map.Transaction;
+import garnetreel.mapd.MapService;
+import garnetreel.net.Driver;
+import garnetreel.store.Journal;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The map service. */
+@Command(name = "mapd", mixinStandardHelpOptions = true,
+        description = "Runs the map service: holds extent maps durably, tells heads, and moves extents.")
+final class MapdCommand implements Callable<Integer> {
+    @Spec
+    CommandSpec spec;
+
+    @Parameters(paramLabel = "FILE", description = "The settings of the service.")
+    Path file;
+
+    @Override
+    public Integer call() throws SettingsException, IOException {
+        Settings settings = Settings.read(file);
+        String listen = settings.text("/map/listen", settings.map());
+        String directory = settings.text("/map/state", "");
+        if (listen.isEmpty() || directory.isEmpty()) {
+            throw new SettingsException(List.of(settings.at("/map") + "lacks \"listen\" or \"state\""));
+        }
+        Journal journal = new Journal(Path.of(directory, "map.journal"));
+        MapState state = new MapState(settings.firstMap(), 0);
+        journal.records().forEach(record -> state.apply(Transaction.of(record)));
+        Process process = new Process();
+        Driver driver = process.run("mapd", new MapService(settings.mapd(listen, settings.list(),
+                process.clock.micros()), state), new Driver.Keeper() {
+                    @Override
+                    public void keep(String name, byte[] data) {
+                        // Its state is in its journal; the node list is asked for at each start.
+                    }
+
+                    @Override
+                    public void append(long seq, byte[] data, Runnable durable) {
+                        // One record is out at a time, so this thread waits for the disk and nothing is lost by it.
+                        journal.append(seq, data);
+                        durable.run();
+                    }
+                });
+        spec.commandLine().getOut().println("ready map://" + Process.bound(driver, MapService.LISTENER));
+        spec.commandLine().getOut().flush();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            process.close();
+            journal.close();
+            Runtime.getRuntime().halt(Main.FINE);
+        }, "end"));
+        return Process.untilStopped(driver);
+    }
+}
