Kills enumerated at every step and pair of steps of a move

Change: MoveKillsTest plays the real move machine and the real node part with the service, either holder, an order or a report lost at each step and each pair of steps, aborts before each step, and an order of an earlier life that comes late.

--- /dev/null
+++ b/standin/src/test/java/garnetreel/standin/node/MoveKillsTest.java
@@ -0,0 +1,198 @@
+package garnetreel.standin.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.codec.node.NodeMessage.Order;
+import garnetreel.codec.node.NodeMessage.Report;
+import garnetreel.map.Move;
+import garnetreel.map.MoveMachine;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A move with every participant killed, or its message lost, at every step and at every pair of steps: enumerated, not
+ * sampled. A client writes between any two steps.
+ */
+class MoveKillsTest {
+    private static final int BYTES = 8 * Disk.PAGE;
+    private static final long VOLUME = 3;
+    private static final long EXTENT = 2;
+    private static final long BEGIN = EXTENT * BYTES;
+    private static final int STEPS_MOST = 400;
+
+    private enum Kill { SERVICE, OLD, NEW, ORDER_LOST, REPORT_LOST, SERVICE_AFTER_ORDER }
+
+    private static final class Node {
+        final Disk disk = new Disk();
+        long life = 1;
+        Mover mover = new Mover(disk, life);
+
+        void crash() {
+            disk.crash();
+            mover = new Mover(disk, ++life);
+        }
+
+        boolean serves(long version) {
+            return disk.holds().serves(VOLUME, BEGIN, version);
+        }
+    }
+
+    private final class Run {
+        final Node[] nodes = {new Node(), new Node()};
+        final Map<Integer, Long> acknowledged = new TreeMap<>();
+        Move durable = new Move(1, VOLUME, EXTENT, 0, 1, 1, 0, Move.State.COPYING);
+        MoveMachine machine = new MoveMachine(durable);
+        long version = 1;
+        int holder;
+        long seq = 1L << 40;
+        long stamp;
+        int steps;
+
+        Run() {
+            // The new node holds other extents of that size, so it can tell what it does not hold of this one.
+            nodes[1].disk.holds().entry(VOLUME, EXTENT, BYTES, false);
+            for (int page = 0; page < 4; page++) {
+                write(page);
+            }
+        }
+
+        /** A client that knows the map writes a page; it is acknowledged if the node serves it. */
+        void write(int page) {
+            if (nodes[holder].serves(version)) {
+                ByteBuffer data = ByteBuffer.allocate(Disk.PAGE).putLong(0, ++stamp);
+                long offset = BEGIN + (long) page * Disk.PAGE;
+                nodes[holder].disk.write(VOLUME, offset, data);
+                nodes[holder].disk.holds().changed(VOLUME, offset, Disk.PAGE);
+                nodes[holder].disk.flush(0);
+                acknowledged.put(page, stamp);
+            }
+        }
+
+        void restartService() {
+            machine = new MoveMachine(durable);
+            seq = (seq >> 40) + 1 << 40;
+        }
+
+        void play(Map<Integer, Kill> kills) throws Disk.Damaged {
+            while (!machine.move().state().over()) {
+                assertTrue(++steps < STEPS_MOST, "stuck in " + machine.move() + " with " + kills);
+                Kill kill = kills.get(steps);
+                if (kill == Kill.SERVICE) {
+                    restartService();
+                } else if (kill == Kill.OLD || kill == Kill.NEW) {
+                    nodes[kill == Kill.OLD ? 0 : 1].crash();
+                }
+                step(kill);
+                write(steps % 8);
+                // Whoever knows the old version and whoever knows the new one: never both are served.
+                assertFalse(nodes[0].serves(1) && nodes[1].serves(2), "two holders at step " + steps + " " + kills);
+            }
+            for (Map.Entry<Integer, Long> page : acknowledged.entrySet()) {
+                ByteBuffer data = ByteBuffer.allocate(Disk.PAGE);
+                nodes[holder].disk.read(VOLUME, BEGIN + (long) page.getKey() * Disk.PAGE, Disk.PAGE, data);
+                assertEquals(page.getValue(), data.getLong(0), "page " + page.getKey() + " " + kills);
+            }
+            assertTrue(nodes[holder].serves(version), "nobody serves " + kills);
+            assertFalse(nodes[1 - holder].serves(1) || nodes[1 - holder].serves(2), "the other one serves " + kills);
+        }
+
+        private void step(Kill kill) {
+            MoveMachine.Next next = machine.next();
+            if (next instanceof MoveMachine.Commit commit) {
+                boolean switches = commit.state() == Move.State.SWITCHED;
+                durable = new Move(1, VOLUME, EXTENT, 0, 1, 1, switches || durable.newVersion() > 0 ? 2 : 0,
+                        commit.state());
+                if (switches) {
+                    version = 2;
+                    holder = 1;
+                }
+                if (kill == Kill.SERVICE_AFTER_ORDER || kill == Kill.REPORT_LOST) {
+                    restartService(); // durable, and the service dies before it has seen so
+                } else {
+                    machine.durable(durable);
+                }
+            } else if (next instanceof MoveMachine.Ask ask) {
+                if (kill == Kill.ORDER_LOST) {
+                    machine.failed();
+                    return;
+                }
+                Order order = new Order(++seq, ask.step(), VOLUME, EXTENT, BYTES, ask.version(), ask.room(), ask.data());
+                Report report = nodes[ask.shard()].mover.carryOut(order, false);
+                if (kill == Kill.REPORT_LOST) {
+                    machine.failed();
+                } else if (kill == Kill.SERVICE_AFTER_ORDER) {
+                    restartService();
+                } else {
+                    machine.reported(report);
+                }
+            }
+        }
+    }
+
+    private int length() throws Disk.Damaged {
+        Run run = new Run();
+        run.play(Map.of());
+        assertEquals(Move.State.DONE, run.durable.state());
+        assertEquals(1, run.holder);
+        return run.steps;
+    }
+
+    @Test
+    void oneKillAtEachStep() throws Disk.Damaged {
+        int steps = length();
+        assertTrue(steps > 10, "a move of " + steps + " steps");
+        for (int at = 1; at <= steps; at++) {
+            for (Kill kill : Kill.values()) {
+                new Run().play(Map.of(at, kill));
+            }
+        }
+    }
+
+    @Test
+    void twoKillsAtEachPairOfSteps() throws Disk.Damaged {
+        int steps = length() + 12; // the first kill makes the move longer
+        for (int first = 1; first <= steps; first++) {
+            for (int second = first + 1; second <= steps; second++) {
+                for (Kill one : Kill.values()) {
+                    for (Kill other : Kill.values()) {
+                        new Run().play(Map.of(first, one, second, other));
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    void abortAtEachStepBeforeTheSwitchLeavesTheOldHolder() throws Disk.Damaged {
+        int steps = length();
+        for (int at = 0; at < steps; at++) {
+            Run run = new Run();
+            while (run.steps < at && !run.durable.state().over()) {
+                run.steps++;
+                run.step(null);
+                run.write(run.steps % 8);
+            }
+            boolean switched = run.version == 2;
+            run.machine.abort("tried");
+            run.play(Map.of());
+            assertEquals(switched ? Move.State.DONE : Move.State.ABORTED, run.durable.state(), "abort after " + at);
+        }
+    }
+
+    @Test
+    void orderOfAnEarlierLifeDoesNotLiftAFence() {
+        Run run = new Run();
+        long early = run.seq + 1;
+        while (run.durable.state() != Move.State.SWITCHED) {
+            run.step(null);
+        }
+        Report late = run.nodes[0].mover.carryOut(new Order(early, garnetreel.codec.node.NodeMessage.Step.TRACK, VOLUME,
+                EXTENT, BYTES, 1, 0, ByteBuffer.allocate(0)), false);
+        assertFalse(late.ok());
+        assertFalse(run.nodes[0].serves(1));
+    }
+}
