--- a/cli/src/main/java/garnetreel/cli/config/HclFile.java
+++ b/cli/src/main/java/garnetreel/cli/config/HclFile.java
@@ -4,6 +4,7 @@
 import com.bertramlabs.plugins.hcl4j.HCLParserException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.networknt.schema.JsonSchema;
 import com.networknt.schema.JsonSchemaFactory;
 import com.networknt.schema.SpecVersion;
@@ -17,6 +18,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +34,8 @@
     private final String name;
     private final JsonNode root;
     private final Map<String, Place> places;
+    /** Paths that come from the deployment a day names, and that file's name. */
+    private final Map<String, String> elsewhere = new HashMap<>();
 
     private HclFile(String name, JsonNode root, Map<String, Place> places) {
         this.name = name;
@@ -47,22 +51,64 @@
         }
     }
 
-    /** Reads and checks a file. */
+    /** Reads and checks a file, laid over the deployment that its block day names, if it names one. */
     public static HclFile read(Path file) throws SettingsException, IOException {
+        HclFile read = form(file.toString(), text(file));
+        String deployment = read.root.at("/day/deployment").asText("");
+        if (!deployment.isEmpty()) {
+            Path base = file.resolveSibling(deployment);
+            if (!Files.isRegularFile(base)) {
+                throw new SettingsException(List.of(read.at("/day/deployment") + "names " + base
+                        + ", and there is no such file"));
+            }
+            read.over(form(base.toString(), text(base)));
+        }
+        read.validate();
+        return read;
+    }
+
+    /** Takes from another file what this one does not say. */
+    private void over(HclFile base) {
+        lay((ObjectNode) base.root, (ObjectNode) root, "", base);
+    }
+
+    private void lay(ObjectNode from, ObjectNode onto, String path, HclFile base) {
+        from.fields().forEachRemaining(e -> {
+            String inner = path + "/" + e.getKey();
+            JsonNode mine = onto.get(e.getKey());
+            if (mine == null) {
+                onto.set(e.getKey(), e.getValue());
+                base.places.forEach((place, at) -> {
+                    if (place.equals(inner) || place.startsWith(inner + "/")) {
+                        places.put(place, at);
+                        elsewhere.put(place, base.name);
+                    }
+                });
+            } else if (mine instanceof ObjectNode here && e.getValue() instanceof ObjectNode there) {
+                lay(there, here, inner, base);
+            }
+        });
+    }
+
+    private static String text(Path file) throws SettingsException, IOException {
         if (Files.size(file) > BYTES_MOST) {
             throw new SettingsException(List.of(file + ": larger than " + BYTES_MOST + " bytes"));
         }
-        String text;
         try {
-            text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(Files.readAllBytes(file))).toString();
+            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(Files.readAllBytes(file))).toString();
         } catch (CharacterCodingException e) {
             throw new SettingsException(List.of(file + ": not UTF-8"));
         }
-        return parse(file.toString(), text);
     }
 
     /** Reads and checks a text. */
     public static HclFile parse(String name, String text) throws SettingsException {
+        HclFile file = form(name, text);
+        file.validate();
+        return file;
+    }
+
+    private static HclFile form(String name, String text) throws SettingsException {
         HclScan scan = new HclScan(text);
         Map<String, Object> scanned;
         try {
@@ -80,9 +126,7 @@
             throw new SettingsException(List.of(name + ": two readings of this file differ; the first gives "
                     + scanned + " and the second " + parsed));
         }
-        HclFile file = new HclFile(name, MAPPER.valueToTree(parsed), scan.places());
-        file.validate();
-        return file;
+        return new HclFile(name, MAPPER.valueToTree(parsed), scan.places());
     }
 
     private void validate() throws SettingsException {
@@ -140,7 +184,7 @@
         }
         Place place = places.get(near);
         String key = path.isEmpty() ? "the file" : path.substring(1).replace('/', ' ');
-        return name + ":" + (place == null ? "1:1" : place) + ": " + key + " ";
+        return elsewhere.getOrDefault(near, name) + ":" + (place == null ? "1:1" : place) + ": " + key + " ";
     }
 
     public JsonNode root() {
--- a/cli/src/test/java/garnetreel/cli/config/SettingsTest.java
+++ b/cli/src/test/java/garnetreel/cli/config/SettingsTest.java
@@ -117,6 +117,19 @@
         }
     }
 
+    @Test
+    void dayIsLaidOverItsDeploymentAndErrorsNameTheRightFile(@TempDir Path temp) throws Exception {
+        Files.writeString(temp.resolve("base"), GOOD);
+        Path day = temp.resolve("day.hcl");
+        Files.writeString(day, "day {\n  length = \"1s\"\n  deployment = \"base\"\n}\nplan \"archive\" {\n  rate = 7\n}\n");
+        Settings settings = Settings.read(day);
+        assertEquals(7, settings.plans().get("archive").rate());
+        assertEquals(19, settings.plans().get("archive").limit());
+        Files.writeString(temp.resolve("base"), GOOD.replace("\"400ms\"", "\"400\""));
+        String problem = assertThrows(SettingsException.class, () -> Settings.read(day)).problems().get(0);
+        assertTrue(problem.startsWith(temp.resolve("base") + ":5:3: class read aim is \"400\""), problem);
+    }
+
     @Test
     void tracesKeepTheirSchema(@TempDir Path temp) throws Exception {
         TraceEvent event = TraceEvent.client(5, "load", "0", TraceEvent.Kind.REPLY, 7, "write", 1, 4096, 512, "served");
