A machine that wants turn after turn no longer keeps its sockets from being read

Its next request lay just before its end, so it always wanted another turn at once, and XNIO empties its tasks before it selects. Change: a turn that is wanted at once goes by way of the timers; the client asks for a turn only while it still asks.

--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -180,7 +180,9 @@
     private void setTimer(long wake) {
         long now = clock.micros();
         if (wake <= now) {
-            turnWanted();
+            // By way of the timers, so that sockets are looked at in between: XNIO empties its queue of tasks before it
+            // selects, and a machine that always wants another turn would never be told anything again.
+            io.executeAfter(this::turn, 1, TimeUnit.MICROSECONDS);
         } else if (wake < timerAt && wake != Long.MAX_VALUE) {
             timerAt = wake;
             io.executeAfter(() -> {
--- a/standin/src/main/java/garnetreel/standin/client/ClientMachine.java
+++ b/standin/src/main/java/garnetreel/standin/client/ClientMachine.java
@@ -453,7 +453,7 @@
         }
         long verifyAt = began + settings.stop() + VERIFY_AFTER;
         boolean verifies = !verifying || !toVerify.isEmpty();
-        long asked = nextAsk < began + settings.stop() ? Math.min(nextAsk, nextLeave) : Long.MAX_VALUE;
+        long asked = now < began + settings.stop() ? Math.min(nextAsk, nextLeave) : Long.MAX_VALUE;
         long next = Math.min(asked, verifies ? Math.max(now + RECONNECT, verifyAt) : Long.MAX_VALUE);
         next = again.isEmpty() ? next : Math.min(next, again.firstKey());
         next = giveUps.isEmpty() ? next : Math.min(next, giveUps.firstKey());
