--- a/cli/src/main/java/garnetreel/cli/MapdCommand.java
+++ b/cli/src/main/java/garnetreel/cli/MapdCommand.java
@@ -3,7 +3,6 @@
 import garnetreel.cli.config.Settings;
 import garnetreel.cli.config.SettingsException;
 import garnetreel.map.MapState;
-import garnetreel.map.Transaction;
 import garnetreel.mapd.MapService;
 import garnetreel.net.Driver;
 import garnetreel.store.Journal;
@@ -35,8 +34,8 @@
             throw new SettingsException(List.of(settings.at("/map") + "lacks \"listen\" or \"state\""));
         }
         Journal journal = new Journal(Path.of(directory, "map.journal"));
-        MapState state = new MapState(settings.firstMap(), 0);
-        journal.records().forEach(record -> state.apply(Transaction.of(record)));
+        Journal.Kept kept = journal.kept();
+        MapState state = MapState.recover(settings.firstMap(), kept.snapshot(), kept.records());
         Process process = new Process();
         Driver driver = process.run("mapd", new MapService(settings.mapd(listen, settings.list(),
                 process.clock.micros()), state), new Driver.Keeper() {
@@ -51,6 +50,11 @@
                         journal.append(seq, data);
                         durable.run();
                     }
+
+                    @Override
+                    public void snapshot(long seq, byte[] data, int kept) {
+                        journal.snapshot(seq, data, kept);
+                    }
                 });
         spec.commandLine().getOut().println("ready map://" + Process.bound(driver, MapService.LISTENER));
         spec.commandLine().getOut().flush();
--- a/cli/src/main/java/garnetreel/cli/SocketStage.java
+++ b/cli/src/main/java/garnetreel/cli/SocketStage.java
@@ -32,6 +32,11 @@
                     keeper.append(seq, data);
                     durable.run();
                 }
+
+                @Override
+                public void snapshot(long seq, byte[] data, int kept) {
+                    keeper.snapshot(seq, data, kept);
+                }
             });
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/cli/src/main/java/garnetreel/cli/config/DayFile.java
+++ b/cli/src/main/java/garnetreel/cli/config/DayFile.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import garnetreel.core.Volume;
+import garnetreel.mapd.MapService;
 import garnetreel.policy.Control;
 import garnetreel.policy.Scheduler.RequestClass;
 import garnetreel.standin.client.LoadSettings;
@@ -25,12 +26,14 @@
 public final class DayFile {
     private static final int PAGE = 4096;
     private static final Set<Trouble.Kind> OF_LIST = Set.of(Trouble.Kind.LIST_LAG, Trouble.Kind.LIST_FAIL,
-            Trouble.Kind.LIST_SILENT, Trouble.Kind.LIST_CRASH, Trouble.Kind.MAP_CRASH, Trouble.Kind.MAP_STALL);
+            Trouble.Kind.LIST_SILENT, Trouble.Kind.LIST_CRASH, Trouble.Kind.MAP_CRASH, Trouble.Kind.MAP_STALL,
+            Trouble.Kind.MAP_RESTORE);
 
     private final String name;
     private final Settings settings;
     private final List<String> problems = new ArrayList<>();
     private final List<Trouble> troubles = new ArrayList<>();
+    private final List<DaySettings.Scripted> script = new ArrayList<>();
     private final Map<String, JsonNode> loads = new LinkedHashMap<>();
 
     private DayFile(String name, Settings settings) {
@@ -79,6 +82,7 @@
                     "holds " + s + "; multiples of 4KiB are expected"));
         });
         check(!loads.isEmpty(), "", "lacks a block load");
+        loadScript();
         settings.root().path("trouble").fields().forEachRemaining(e -> troubles.add(trouble(e.getKey(),
                 e.getValue())));
     }
@@ -130,7 +134,27 @@
                         settings.volumesById(), settings.classes(), settings.plans(), transit),
                 settings.root().path("map").isMissingNode() ? null : new DaySettings.MapDay(
                         (listen, list) -> settings.mapd(listen, list, 1), settings.firstMap(),
-                        (int) settings.number("/map/moves", 0)));
+                        (int) settings.number("/map/moves", 0), settings.micros("/map/moves_from", "0s"),
+                        settings.micros("/map/moves_for", settings.text("/day/length", "10s")), List.copyOf(script)));
+    }
+
+    /** Moves and drains that the file names. */
+    private void loadScript() {
+        settings.root().path("move").fields().forEachRemaining(e -> {
+            String path = "/move/" + e.getKey();
+            Volume volume = settings.volumes().get(e.getValue().path("volume").asText());
+            check(volume != null, path + "/volume", "names a volume that there is not");
+            int to = e.getValue().path("to").asInt();
+            check(settings.nodes().values().stream().anyMatch(n -> n.shard() == to), path + "/to", "is " + to
+                    + ", and no node has that shard");
+            if (volume != null) {
+                script.add(new DaySettings.Scripted(settings.micros(path + "/at", "0s"), new MapService.MoveOrder(
+                        volume.id(), e.getValue().path("extent").asLong(), to)));
+            }
+        });
+        settings.root().path("drain").fields().forEachRemaining(e -> script.add(new DaySettings.Scripted(
+                settings.micros("/drain/" + e.getKey() + "/at", "0s"),
+                new MapService.DrainOrder(e.getValue().path("shard").asInt(), true))));
     }
 
     private List<LoadSettings> loads(List<String> addresses) {
--- a/cli/src/main/java/garnetreel/cli/config/Settings.java
+++ b/cli/src/main/java/garnetreel/cli/config/Settings.java
@@ -67,7 +67,7 @@
                 micros("/bounds/handshake", "30s"));
         links = new Links((int) number("/links/per_node", 4), (int) number("/links/streams", 32),
                 micros("/links/idle", "15s"), micros("/links/connect_timeout", "250ms"),
-                micros("/links/list_call", "2s"), micros("/links/list_silence", "5s"));
+                micros("/links/list_call", "2s"), micros("/links/list_silence", "5s"), flag("/links/follow_map", true));
     }
 
     /** Reads a file and checks its form and its meaning. */
@@ -185,7 +185,7 @@
                 ? micros(path + "/warm_within", "0s") : rules.warmWithin(), rules.fallMultiple(), rules.fall(),
                 number(path + "/defer_share", 0), micros(path + "/flush_every", "1s"),
                 flag(path + "/journal", false), micros(path + "/pause_every", "0s"), micros(path + "/pause_most", "0s"),
-                micros(path + "/repeat_window", "5s"));
+                micros(path + "/repeat_window", "5s"), bytes(path + "/capacity", "1TiB"));
     }
 
     private void check(boolean holds, String path, String problem) {
@@ -338,7 +338,8 @@
                 (int) number("/map/subscribes", 200), micros("/map/order_timeout", "2s"),
                 flag("/map/rebalance", false), number("/map/power", 1000), micros("/map/cold_for", "15s"),
                 new Rebalancer.Bounds((int) number("/map/moves_at_once", 4), (int) number("/map/moves_a_node", 1),
-                        number("/map/difference", 0.2), micros("/map/rest", "60s"), number("/map/fullest", 0.8)));
+                        number("/map/difference", 0.2), micros("/map/rest", "60s"), number("/map/fullest", 0.8),
+                        bytes("/map/spare", "0B")), (int) number("/map/snapshot_every", 1_000));
     }
 
     /** State directory of a head; empty for none. */
--- a/codec/src/main/java/garnetreel/codec/node/NodeMessage.java
+++ b/codec/src/main/java/garnetreel/codec/node/NodeMessage.java
@@ -117,8 +117,19 @@
         UNFENCE,
         /** To the new holder: the move is off; drop what came. */
         FORGET,
-        /** How much was served lately: units a second in all, then volume, extent and units a second of the busiest. */
-        LOAD
+        /**
+         * How the node is: units a second served lately f64, share of its power in use f64, bytes used u64, bytes in all
+         * u64, then volume u64, extent u64 and units a second f64 of the busiest extents.
+         */
+        LOAD,
+        /** To the holder: CRC32C of all bytes of the extent, u32; refused by whoever does not serve it under the version. */
+        SUM,
+        /**
+         * What the node has an entry for, from the extent after {@code volume} and {@code extent} on: volume u64, extent
+         * u64, extent bytes u32, state u8 (0 serving, 1 fenced, 2 receiving, 3 gone), version u64; {@code more} tells that
+         * there are others.
+         */
+        HOLDS
     }
 
     /**
--- a/core/src/main/java/garnetreel/core/HeadSettings.java
+++ b/core/src/main/java/garnetreel/core/HeadSettings.java
@@ -44,6 +44,8 @@
      * @param connectTimeout time in which one must stand
      * @param listCall time in which a call to the list must be answered
      * @param listSilence time without a word after which a subscription counts as broken
+     * @param followMap changes of the map are told as they come; else they are asked for after a stale answer alone
      */
-    public record Links(int perNode, int streams, long idle, long connectTimeout, long listCall, long listSilence) { }
+    public record Links(int perNode, int streams, long idle, long connectTimeout, long listCall, long listSilence,
+            boolean followMap) { }
 }
--- a/core/src/main/java/garnetreel/core/io/NetAction.java
+++ b/core/src/main/java/garnetreel/core/io/NetAction.java
@@ -29,6 +29,12 @@
     /** Adds a record to the machine's journal; Appended tells when it is durable. Records become durable in order. */
     record Append(long seq, byte[] data) implements NetAction { }
 
+    /**
+     * Keeps in one step all that the journal says up to a record, so that a restart reads this and what came after. Of
+     * the records it covers the last {@code kept} stay, for history; the rest goes.
+     */
+    record Snapshot(long seq, byte[] data, int kept) implements NetAction { }
+
     /** A line for the log. */
     record Note(Level level, String text) implements NetAction { }
 
--- a/core/src/main/java/garnetreel/core/link/MapLink.java
+++ b/core/src/main/java/garnetreel/core/link/MapLink.java
@@ -50,6 +50,7 @@
     private long callAt = Long.MAX_VALUE;
     private long keepAt = Long.MAX_VALUE;
     private long keptAt;
+    private long askedAt;
     private boolean wantsAll;
 
     public MapLink(HeadSettings settings, ConnectionNumbers numbers) {
@@ -93,9 +94,11 @@
 
     @Override
     public void stale() {
-        // With a subscription that stands, the change is on its way already; without one it is asked for soon.
+        // With a subscription that stands, the change is on its way already; without one it is asked for: at once by a
+        // head that does not follow, since its next request would be answered stale as well, else as a call is spaced.
         if (conn == 0 && !settings.map().isEmpty()) {
-            callAt = Math.min(callAt, now + jitter(PAUSE_FIRST));
+            callAt = Math.min(callAt, settings.links().followMap() ? now + jitter(PAUSE_FIRST)
+                    : Math.max(now, askedAt + jitter(PAUSE_FIRST)));
         }
     }
 
@@ -132,16 +135,20 @@
 
     private void subscribe() {
         called = true;
+        askedAt = now;
         actions.add(new NetAction.Write(conn, MapCodec.frame(new Subscribe(settings.head(), cache.epoch(),
                 wantsAll ? 0 : cache.version()))));
         wantsAll = false;
     }
 
     public void closed() {
+        boolean wanted = called || !open || settings.links().followMap();
         conn = 0;
         open = false;
         called = false;
-        again();
+        if (wanted) {
+            again();
+        }
     }
 
     private void again() {
@@ -164,6 +171,10 @@
             actions.add(new NetAction.Close(conn, true));
             closed();
         }
+        if (conn != 0 && !called && callAt == Long.MAX_VALUE && !settings.links().followMap()) {
+            actions.add(new NetAction.Close(conn, false)); // it has what it asked for, and follows nothing
+            closed();
+        }
         if (changed) {
             keepAt = Math.min(keepAt, Math.max(now, keptAt + KEEP_EVERY));
         }
--- a/emulator/src/main/java/garnetreel/emulator/World.java
+++ b/emulator/src/main/java/garnetreel/emulator/World.java
@@ -248,6 +248,12 @@
                     hand(site, new NetEvent.Appended(append.seq()));
                 }
             });
+        } else if (action instanceof NetAction.Snapshot snapshot) {
+            at(now + DISK, 0, () -> {
+                if (!site.dead) {
+                    site.keeper.snapshot(snapshot.seq(), snapshot.data(), snapshot.kept());
+                }
+            });
         } else if (action instanceof NetAction.Persist persist) {
             site.keeper.keep(persist.name(), persist.data());
         }
--- a/map/src/main/java/garnetreel/map/ExtentMap.java
+++ b/map/src/main/java/garnetreel/map/ExtentMap.java
@@ -5,6 +5,8 @@
 import garnetreel.codec.map.MapMessage.VolumeMap;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Where the extents of one volume are: an immutable snapshot. A change makes a new snapshot that shares all chunks but
@@ -101,6 +103,22 @@
         return chunk == null || chunk.versions[within] == 0 ? FIRST : chunk.versions[within];
     }
 
+    /** Shards that hold something, or did at first. */
+    public Set<Integer> shards() {
+        Set<Integer> shards = new TreeSet<>();
+        for (int shard : rule) {
+            shards.add(shard);
+        }
+        for (Chunk chunk : chunks) {
+            for (int within = 0; chunk != null && within < CHUNK; within++) {
+                if (chunk.versions[within] != 0) {
+                    shards.add(chunk.shards[within]);
+                }
+            }
+        }
+        return shards;
+    }
+
     public long volume() {
         return volume;
     }
--- a/map/src/main/java/garnetreel/map/MapCache.java
+++ b/map/src/main/java/garnetreel/map/MapCache.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * The map as one holder knows it: all volumes at one version of one epoch. News is followed whole or not at all.
@@ -29,7 +30,7 @@
         BACKWARDS
     }
 
-    private final Map<Long, ExtentMap> volumes = new HashMap<>();
+    private final Map<Long, ExtentMap> volumes = new TreeMap<>();
     private long epoch;
     private long version;
 
@@ -80,6 +81,11 @@
         return Outcome.TAKEN;
     }
 
+    /** Maps of all volumes, by volume. */
+    public Iterable<ExtentMap> volumes() {
+        return volumes.values();
+    }
+
     /** A volume's map; null while there is none. */
     public ExtentMap volume(long volume) {
         return volumes.get(volume);
@@ -95,7 +101,6 @@
 
     /** All of it, to be kept. */
     public Whole whole() {
-        return new Whole(epoch, version, volumes.values().stream().map(ExtentMap::whole)
-                .sorted((a, b) -> Long.compare(a.volume(), b.volume())).toList());
+        return new Whole(epoch, version, volumes.values().stream().map(ExtentMap::whole).toList());
     }
 }
--- /dev/null
+++ b/map/src/main/java/garnetreel/map/MapSnapshot.java
@@ -0,0 +1,91 @@
+package garnetreel.map;
+
+import garnetreel.codec.ByteQueue;
+import garnetreel.codec.ProtocolException;
+import garnetreel.codec.map.MapCodec;
+import garnetreel.codec.map.MapMessage.Whole;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/**
+ * The map service's state without its history, as of one transaction.
+ *
+ * <pre>
+ * u32 magic "GRMS"   u32 CRC32C of all that follows
+ * u64 seq   u64 last move   u32 moves, each as in a transaction   u32 draining shards, u32 each
+ * u32 length and bytes of a whole-map frame (docs/extent-map.md)
+ * </pre>
+ */
+record MapSnapshot(long seq, long lastMove, Whole maps, List<Move> moves, List<Integer> draining) {
+    private static final int MAGIC = 0x47524d53;
+    private static final int HEADER = 8;
+
+    byte[] bytes() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeInt(MAGIC);
+            out.writeInt(0);
+            out.writeLong(seq);
+            out.writeLong(lastMove);
+            out.writeInt(moves.size());
+            for (Move move : moves) {
+                move.write(out);
+            }
+            out.writeInt(draining.size());
+            for (int shard : draining) {
+                out.writeInt(shard);
+            }
+            ByteBuffer frame = MapCodec.frame(maps);
+            out.writeInt(frame.remaining());
+            out.write(frame.array(), frame.arrayOffset() + frame.position(), frame.remaining());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        byte[] whole = bytes.toByteArray();
+        ByteBuffer.wrap(whole).putInt(4, crc(whole));
+        return whole;
+    }
+
+    private static int crc(byte[] whole) {
+        CRC32C crc = new CRC32C();
+        crc.update(whole, HEADER, whole.length - HEADER);
+        return (int) crc.getValue();
+    }
+
+    /** @throws IllegalStateException saying what is damaged */
+    static MapSnapshot of(byte[] whole) {
+        if (whole.length < HEADER || ByteBuffer.wrap(whole).getInt(0) != MAGIC
+                || ByteBuffer.wrap(whole).getInt(4) != crc(whole)) {
+            throw new IllegalStateException("the snapshot of the map's journal is damaged (" + whole.length
+                    + " bytes, checksum or magic differ)");
+        }
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(whole, HEADER, whole.length - HEADER))) {
+            long seq = in.readLong();
+            long lastMove = in.readLong();
+            List<Move> moves = new ArrayList<>();
+            for (int left = in.readInt(); left > 0; left--) {
+                moves.add(Move.read(in));
+            }
+            List<Integer> draining = new ArrayList<>();
+            for (int left = in.readInt(); left > 0; left--) {
+                draining.add(in.readInt());
+            }
+            ByteQueue frame = new ByteQueue();
+            frame.add(ByteBuffer.wrap(in.readNBytes(in.readInt())));
+            if (MapCodec.next(frame) instanceof Whole maps) {
+                return new MapSnapshot(seq, lastMove, maps, moves, draining);
+            }
+            throw new IllegalStateException("the snapshot of the map's journal holds no map");
+        } catch (IOException | ProtocolException e) {
+            throw new IllegalStateException("the snapshot of the map's journal can't be read: " + e.getMessage(), e);
+        }
+    }
+}
--- a/map/src/main/java/garnetreel/map/MapState.java
+++ b/map/src/main/java/garnetreel/map/MapState.java
@@ -5,15 +5,19 @@
 import garnetreel.codec.map.MapMessage.Changes;
 import garnetreel.codec.map.MapMessage.VolumeMap;
 import garnetreel.codec.map.MapMessage.Whole;
+import garnetreel.map.Transaction.Drain;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
- * What the map service knows: the maps, the moves under way, and the last transactions. All of it follows from the
- * transactions in order; whoever applies the same ones has the same state, which is the seam for replicas.
+ * What the map service knows: the maps, the moves under way, shards that drain, and the last transactions. All of it
+ * follows from the transactions in order; whoever applies the same ones has the same state, which is the seam for
+ * replicas.
  *
  * <p>Bounds: {@link #HISTORY} transactions are kept for deltas and history; a head that is further back takes the whole.
  */
@@ -23,6 +27,7 @@
 
     private final MapCache maps = new MapCache();
     private final TreeMap<Long, Move> moves = new TreeMap<>();
+    private final TreeSet<Integer> draining = new TreeSet<>();
     private final ArrayDeque<Transaction> history = new ArrayDeque<>();
     private long seq;
     private long epoch;
@@ -30,13 +35,56 @@
     private long horizon;
     private long lastMove;
 
-    /** Begins a service of volumes that never moved, or goes on from a snapshot. */
-    public MapState(Whole begin, long seq) {
+    /** Begins a service of volumes that never moved. */
+    public MapState(Whole begin) {
         maps.take(begin);
         this.epoch = begin.epoch();
         this.version = begin.version();
         this.horizon = version;
-        this.seq = seq;
+    }
+
+    private MapState(MapSnapshot snapshot) {
+        this(snapshot.maps());
+        seq = snapshot.seq();
+        lastMove = snapshot.lastMove();
+        snapshot.moves().forEach(m -> moves.put(m.id(), m));
+        draining.addAll(snapshot.draining());
+    }
+
+    /**
+     * The state that a journal tells.
+     *
+     * @param begin the maps of a service that never ran
+     * @param snapshot the last one; null for none
+     * @param records transactions in order without a gap; those that the snapshot covers serve history and deltas
+     * @throws IllegalStateException saying which record is missing or damaged; nothing is guessed
+     */
+    public static MapState recover(Whole begin, byte[] snapshot, List<byte[]> records) {
+        MapSnapshot read = snapshot == null ? null : MapSnapshot.of(snapshot);
+        MapState state = read == null ? new MapState(begin) : new MapState(read);
+        for (byte[] record : records) {
+            Transaction t = Transaction.of(record);
+            if (t.seq() > state.seq) {
+                state.apply(t);
+            } else {
+                state.remember(t);
+            }
+        }
+        return state;
+    }
+
+    /** A transaction that the snapshot covers: kept for history, and for deltas since the first of them. */
+    private void remember(Transaction t) {
+        if (history.isEmpty() || t.epoch() != history.peekLast().epoch()) {
+            horizon = t.version();
+        }
+        history.add(t);
+        trim();
+    }
+
+    /** All of it but the history, as bytes for {@link #recover}. */
+    public byte[] snapshot() {
+        return new MapSnapshot(seq, lastMove, maps.whole(), List.copyOf(moves.values()), List.copyOf(draining)).bytes();
     }
 
     /** Applies a transaction that has become durable; one that was applied before is passed over. */
@@ -48,12 +96,12 @@
             throw new IllegalStateException("transaction " + t.seq() + " of version " + t.version()
                     + " does not follow " + seq + " of version " + version);
         }
-        if (!t.changes().isEmpty() || t.epoch() != epoch) {
-            if (t.epoch() != epoch) {
-                epoch = t.epoch();
-                maps.take(new Whole(epoch, t.version(), maps.whole().volumes()));
-                horizon = t.version();
-            }
+        if (t.epoch() != epoch) {
+            epoch = t.epoch();
+            version = t.version();
+            horizon = version;
+            maps.take(new Whole(epoch, version, changed(t.changes())));
+        } else if (!t.changes().isEmpty()) {
             maps.take(new Changes(epoch, version, t.version(), t.changes()));
             version = t.version();
         }
@@ -66,18 +114,39 @@
                 moves.put(t.move().id(), t.move());
             }
         }
+        if (t.drain() != null && t.drain().on()) {
+            draining.add(t.drain().shard());
+        } else if (t.drain() != null) {
+            draining.remove(t.drain().shard());
+        }
         history.add(t);
+        trim();
+    }
+
+    /** The maps with changes whose versions may be of any age: what an epoch that is adopted from nodes says. */
+    private List<VolumeMap> changed(List<Change> changes) {
+        List<VolumeMap> volumes = new ArrayList<>();
+        maps.volumes().forEach(map -> volumes.add(map.with(changes).whole()));
+        return volumes;
+    }
+
+    private void trim() {
         if (history.size() > HISTORY) {
             horizon = Math.max(horizon, history.poll().version());
         }
     }
 
+    private Transaction make(long newEpoch, long newVersion, String who, long when, String why, List<Change> changes,
+            Move move, Drain drain) {
+        return new Transaction(seq + 1, newEpoch, newVersion, who, when, why, changes, move, drain);
+    }
+
     /** The transaction that makes a state of a move durable, or begins one. */
     public Transaction next(Move move, String who, long when, String why) {
         boolean switches = move.state() == Move.State.SWITCHED && (moves.get(move.id()) == null
                 || moves.get(move.id()).state() != Move.State.SWITCHED);
         if (!switches) {
-            return new Transaction(seq + 1, epoch, version, who, when, why, List.of(), move);
+            return make(epoch, version, who, when, why, List.of(), move, null);
         }
         // Compare and set: the extent must still be held as the move found it.
         ExtentMap map = maps.volume(move.volume());
@@ -86,18 +155,38 @@
                     + " is held under version " + map.version(move.extent()) + " and not " + move.oldVersion());
         }
         Move switched = move.switched(version + 1);
-        return new Transaction(seq + 1, epoch, version + 1, who, when, why,
-                List.of(new Change(move.volume(), move.extent(), move.to(), version + 1)), switched);
+        return make(epoch, version + 1, who, when, why,
+                List.of(new Change(move.volume(), move.extent(), move.to(), version + 1)), switched, null);
     }
 
     /** A transaction that changes nothing but is on record. */
     public Transaction note(String who, long when, String why) {
-        return new Transaction(seq + 1, epoch, version, who, when, why, List.of(), null);
+        return make(epoch, version, who, when, why, List.of(), null, null);
+    }
+
+    /** A shard is to hold nothing any more, or may again. */
+    public Transaction drain(int shard, boolean on, String who, long when) {
+        return make(epoch, version, who, when, (on ? "drain shard " : "undrain shard ") + shard, List.of(), null,
+                new Drain(shard, on));
     }
 
     /** A new epoch: heads follow it though versions may have gone back. */
     public Transaction newEpoch(String who, long when, String why) {
-        return new Transaction(seq + 1, epoch + 1, version, who, when, why, List.of(), null);
+        return make(epoch + 1, version, who, when, why, List.of(), null, null);
+    }
+
+    /**
+     * A new epoch whose maps are what nodes said they hold.
+     *
+     * @param heardEpoch newest epoch that anyone has heard of, and {@code most} the highest version
+     */
+    public Transaction adopt(List<Change> found, long heardEpoch, long most, String who, long when, String why) {
+        return make(Math.max(epoch, heardEpoch) + 1, Math.max(version, most) + 1, who, when, why, found, null, null);
+    }
+
+    /** A move in a state of its own making: to put back what a lost move left behind. */
+    public Move lostMove(long volume, long extent, int from, int to, long fencedUnder) {
+        return new Move(lastMove + 1, volume, extent, from, to, fencedUnder, 0, Move.State.ABORTING);
     }
 
     /**
@@ -125,45 +214,59 @@
 
     /** What a holder of a version must be told: changes, or everything where it is too far back. */
     public MapMessage since(long heldEpoch, long held) {
-        if (heldEpoch != epoch || held > version || held < horizon) {
-            return maps.whole();
-        }
+        return heldEpoch != epoch || held > version || held < horizon ? maps.whole()
+                : new Changes(epoch, held, version, changesSince(held));
+    }
+
+    /** Changes after a version of this epoch in order; it must not lie before {@link #horizon}. */
+    public List<Change> changesSince(long held) {
         List<Change> changes = new ArrayList<>();
-        for (Transaction t : history) {
-            if (t.version() > held) {
-                changes.addAll(t.changes());
+        // From the newest back: a head that is one change behind must not cost a pass over all history.
+        for (Iterator<Transaction> newest = history.descendingIterator(); newest.hasNext(); ) {
+            Transaction t = newest.next();
+            if (t.version() <= held || t.epoch() != epoch) {
+                break;
             }
+            List<Change> own = new ArrayList<>(t.changes());
+            Collections.reverse(own);
+            changes.addAll(own);
         }
-        return new Changes(epoch, held, version, changes);
+        Collections.reverse(changes);
+        return changes;
     }
 
     public Whole whole() {
         return maps.whole();
     }
 
-    /** All state as a snapshot holds it: the maps, and the moves as transactions would say them. */
+    /** Maps of all volumes, by volume. */
+    public Iterable<ExtentMap> maps() {
+        return maps.volumes();
+    }
+
+    /** Moves that are not over. */
     public List<Move> moves() {
         return List.copyOf(moves.values());
     }
 
-    /** Puts back the moves of a snapshot. */
-    public void restore(List<Move> underWay, long lastMoveId) {
-        underWay.forEach(m -> moves.put(m.id(), m));
-        lastMove = lastMoveId;
+    /** Shards that are to hold nothing any more. */
+    public List<Integer> draining() {
+        return List.copyOf(draining);
     }
 
     public Iterable<Transaction> history() {
         return history;
     }
 
-    public VolumeMap volume(long volume) {
-        return maps.volume(volume) == null ? null : maps.volume(volume).whole();
-    }
-
     public ExtentMap map(long volume) {
         return maps.volume(volume);
     }
 
+    /** Oldest version from which changes are known. */
+    public long horizon() {
+        return horizon;
+    }
+
     public long seq() {
         return seq;
     }
@@ -175,8 +278,4 @@
     public long version() {
         return version;
     }
-
-    public long lastMove() {
-        return lastMove;
-    }
 }
--- a/map/src/main/java/garnetreel/map/Move.java
+++ b/map/src/main/java/garnetreel/map/Move.java
@@ -1,5 +1,9 @@
 package garnetreel.map;
 
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+
 /**
  * A move of one extent, as far as it must be remembered: the durable states of its machine.
  *
@@ -27,6 +31,22 @@
         }
     }
 
+    void write(DataOutputStream out) throws IOException {
+        out.writeLong(id);
+        out.writeLong(volume);
+        out.writeLong(extent);
+        out.writeInt(from);
+        out.writeInt(to);
+        out.writeLong(oldVersion);
+        out.writeLong(newVersion);
+        out.writeByte(state.ordinal());
+    }
+
+    static Move read(DataInputStream in) throws IOException {
+        return new Move(in.readLong(), in.readLong(), in.readLong(), in.readInt(), in.readInt(), in.readLong(),
+                in.readLong(), State.values()[in.readByte()]);
+    }
+
     Move in(State next) {
         return new Move(id, volume, extent, from, to, oldVersion, newVersion, next);
     }
--- a/map/src/main/java/garnetreel/map/Rebalancer.java
+++ b/map/src/main/java/garnetreel/map/Rebalancer.java
@@ -24,20 +24,35 @@
      * @param difference share of its power by which the busiest must be past the least busy before anything moves
      * @param rest microseconds for which an extent that moved stays where it is
      * @param fullest share of its power past which a node is given nothing
+     * @param spare bytes that stay free at a node whatever is moved there
      */
-    public record Bounds(int movesAtOnce, int movesANode, double difference, long rest, double fullest) { }
+    public record Bounds(int movesAtOnce, int movesANode, double difference, long rest, double fullest, long spare) { }
 
     /**
      * A shard's node.
      *
-     * @param load units a second it serves, {@code power} what it can do
+     * @param load units a second it serves, {@code power} what it can do when it is well
+     * @param busy share of its power that this takes of it, as it says itself: an ageing node is busier at the same load
+     * @param free bytes it has left
      * @param draining it is to hold nothing any more
      * @param cold it started lately: it is given nothing, since copies press on it like any work
      */
-    public record Shard(int shard, double load, double power, boolean draining, boolean cold, boolean reachable) { }
+    public record Shard(int shard, double load, double power, double busy, long free, boolean draining, boolean cold,
+            boolean reachable) {
 
-    /** An extent and the units a second asked of it. */
-    public record Extent(long volume, long extent, int shard, double load) { }
+        /**
+         * Share of its power that a unit a second takes. Guards against sending work to a node that slows: by its
+         * nameplate it looks idle. It could hurt where a few units take long for another reason (pauses, copies), so the
+         * nameplate is the least.
+         */
+        double cost() {
+            double nameplate = 1 / Math.max(1e-9, power);
+            return load >= 1 ? Math.max(nameplate, busy / load) : nameplate;
+        }
+    }
+
+    /** An extent, its bytes, and the units a second asked of it. */
+    public record Extent(long volume, long extent, int shard, double load, long bytes) { }
 
     /** What to move. */
     public record Wish(long volume, long extent, int to, String why) { }
@@ -46,6 +61,8 @@
 
     private final Bounds bounds;
     private final Map<Spot, Long> movedAt = new HashMap<>();
+    /** Bytes that moves asked for in this round take at a shard. */
+    private final Map<Integer, Long> taken = new HashMap<>();
 
     public Rebalancer(Bounds bounds) {
         this.bounds = bounds;
@@ -67,6 +84,7 @@
         Map<Integer, Shard> byNumber = new TreeMap<>();
         Map<Integer, Double> load = new TreeMap<>();
         Map<Integer, Integer> busy = new HashMap<>();
+        taken.clear();
         for (Shard shard : shards) {
             byNumber.put(shard.shard(), shard);
             load.put(shard.shard(), shard.load());
@@ -141,7 +159,11 @@
     }
 
     private static double part(Shard shard, Map<Integer, Double> load) {
-        return load.get(shard.shard()) / Math.max(1e-9, shard.power());
+        return load.get(shard.shard()) * shard.cost();
+    }
+
+    private boolean hasRoom(Shard shard, Extent extent) {
+        return shard.free() - taken.getOrDefault(shard.shard(), 0L) - extent.bytes() >= bounds.spare();
     }
 
     /** Adds a wish for an extent if some shard may take it and is then not past {@code most} of its power. */
@@ -153,14 +175,14 @@
         Shard best = null;
         for (Shard shard : shards.values()) {
             if (shard.shard() != extent.shard() && shard.reachable() && !shard.draining() && !shard.cold()
-                    && busy(busy, shard.shard()) && (best == null || part(shard, load) < part(best, load))) {
+                    && busy(busy, shard.shard()) && hasRoom(shard, extent) && (best == null || part(shard, load) < part(best, load))) {
                 best = shard;
             }
         }
         if (best == null) {
             return;
         }
-        double after = (load.get(best.shard()) + extent.load()) / Math.max(1e-9, best.power());
+        double after = (load.get(best.shard()) + extent.load()) * best.cost();
         // A shard that drains is emptied even to busy ones; balancing never makes a new fullest one.
         boolean drains = shards.get(extent.shard()).draining();
         if (!drains && (after > most || after > bounds.fullest())) {
@@ -170,6 +192,7 @@
         load.merge(extent.shard(), -extent.load(), Double::sum);
         busy.merge(best.shard(), 1, Integer::sum);
         busy.merge(extent.shard(), 1, Integer::sum);
+        taken.merge(best.shard(), extent.bytes(), Long::sum);
         wishes.add(new Wish(extent.volume(), extent.extent(), best.shard(), why));
     }
 }
--- a/map/src/main/java/garnetreel/map/Transaction.java
+++ b/map/src/main/java/garnetreel/map/Transaction.java
@@ -18,9 +18,13 @@
  * @param version the map's version after it; grows only where extents change
  * @param when microseconds of the epoch
  * @param move state of one move after it; null where it is about none
+ * @param drain a shard that is to hold nothing any more, or that may again; null where it is about none
  */
 public record Transaction(long seq, long epoch, long version, String who, long when, String why,
-        List<Change> changes, Move move) {
+        List<Change> changes, Move move, Drain drain) {
+
+    /** Whether a shard drains. */
+    public record Drain(int shard, boolean on) { }
 
     /** As bytes for the log. */
     public byte[] bytes() {
@@ -41,14 +45,11 @@
             }
             out.writeBoolean(move != null);
             if (move != null) {
-                out.writeLong(move.id());
-                out.writeLong(move.volume());
-                out.writeLong(move.extent());
-                out.writeInt(move.from());
-                out.writeInt(move.to());
-                out.writeLong(move.oldVersion());
-                out.writeLong(move.newVersion());
-                out.writeByte(move.state().ordinal());
+                move.write(out);
+            }
+            if (drain != null) { // records from before drains were kept end here
+                out.writeInt(drain.shard());
+                out.writeBoolean(drain.on());
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -70,9 +71,9 @@
             for (int i = 0; i < count; i++) {
                 changes.add(new Change(in.readLong(), in.readLong(), in.readInt(), in.readLong()));
             }
-            Move move = in.readBoolean() ? new Move(in.readLong(), in.readLong(), in.readLong(), in.readInt(),
-                    in.readInt(), in.readLong(), in.readLong(), Move.State.values()[in.readByte()]) : null;
-            return new Transaction(seq, epoch, version, who, when, why, changes, move);
+            Move move = in.readBoolean() ? Move.read(in) : null;
+            Drain drain = in.available() > 0 ? new Drain(in.readInt(), in.readBoolean()) : null;
+            return new Transaction(seq, epoch, version, who, when, why, changes, move, drain);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/map/src/test/java/garnetreel/map/ExtentMapTest.java
+++ b/map/src/test/java/garnetreel/map/ExtentMapTest.java
@@ -57,7 +57,7 @@
 
     @Test
     void transactionsComeThroughTheLogAndBuildTheSameState() {
-        MapState state = new MapState(BEGIN, 0);
+        MapState state = new MapState(BEGIN);
         Move move = state.newMove(7, 5, 1);
         Transaction begun = state.next(move, "somebody", 3, "why");
         assertEquals(begun, Transaction.of(begun.bytes()));
--- a/map/src/test/java/garnetreel/map/RebalancerTest.java
+++ b/map/src/test/java/garnetreel/map/RebalancerTest.java
@@ -12,16 +12,17 @@
 import org.junit.jupiter.api.Test;
 
 class RebalancerTest {
-    private static final Bounds BOUNDS = new Bounds(4, 1, 0.2, 60_000_000, 0.8);
+    private static final long FREE = 1L << 30;
+    private static final Bounds BOUNDS = new Bounds(4, 1, 0.2, 60_000_000, 0.8, 0);
 
     private static Shard shard(int number, double load) {
-        return new Shard(number, load, 100, false, false, true);
+        return new Shard(number, load, 100, load / 100, FREE, false, false, true);
     }
 
     @Test
     void busiestGivesToLeastBusyWithoutTurningTheGapRound() {
         List<Wish> wishes = new Rebalancer(BOUNDS).wishes(0, List.of(shard(0, 90), shard(1, 10), shard(2, 50)),
-                List.of(new Extent(1, 1, 0, 85), new Extent(1, 2, 0, 30), new Extent(1, 3, 0, 5)), List.of());
+                List.of(new Extent(1, 1, 0, 85, 4096), new Extent(1, 2, 0, 30, 4096), new Extent(1, 3, 0, 5, 4096)), List.of());
         assertEquals(1, wishes.size());
         assertEquals(new Wish(1, 2, 1, wishes.get(0).why()), wishes.get(0));
     }
@@ -29,10 +30,10 @@
     @Test
     void smallDifferencesMoveNothingAndWhatMovedRests() {
         assertEquals(List.of(), new Rebalancer(BOUNDS).wishes(0, List.of(shard(0, 55), shard(1, 45)),
-                List.of(new Extent(1, 1, 0, 5)), List.of()));
+                List.of(new Extent(1, 1, 0, 5, 4096)), List.of()));
         Rebalancer rested = new Rebalancer(BOUNDS);
         List<Shard> shards = List.of(shard(0, 90), shard(1, 10));
-        List<Extent> extents = List.of(new Extent(1, 1, 0, 20));
+        List<Extent> extents = List.of(new Extent(1, 1, 0, 20, 4096));
         rested.moved(1, 1, 0);
         assertEquals(List.of(), rested.wishes(30_000_000, shards, extents, List.of()));
         assertEquals(1, rested.wishes(61_000_000, shards, extents, List.of()).size());
@@ -40,18 +41,18 @@
 
     @Test
     void coldDrainingAndUnreachableShardsAreGivenNothing() {
-        List<Shard> shards = List.of(shard(0, 90), new Shard(1, 0, 100, false, true, true),
-                new Shard(2, 0, 100, true, false, true), new Shard(3, 0, 100, false, false, false));
-        assertEquals(List.of(), new Rebalancer(BOUNDS).wishes(0, shards, List.of(new Extent(1, 1, 0, 20)),
+        List<Shard> shards = List.of(shard(0, 90), new Shard(1, 0, 100, 0, FREE, false, true, true),
+                new Shard(2, 0, 100, 0, FREE, true, false, true), new Shard(3, 0, 100, 0, FREE, false, false, false));
+        assertEquals(List.of(), new Rebalancer(BOUNDS).wishes(0, shards, List.of(new Extent(1, 1, 0, 20, 4096)),
                 List.of()));
     }
 
     @Test
     void drainingShardIsEmptiedWithinTheBounds() {
-        List<Shard> shards = List.of(new Shard(0, 10, 100, true, false, true), shard(1, 10), shard(2, 20), shard(3, 5));
+        List<Shard> shards = List.of(new Shard(0, 10, 100, 0.1, FREE, true, false, true), shard(1, 10), shard(2, 20), shard(3, 5));
         List<Extent> extents = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
-            extents.add(new Extent(1, i, 0, i));
+            extents.add(new Extent(1, i, 0, i, 4096));
         }
         List<Wish> wishes = new Rebalancer(BOUNDS).wishes(0, shards, extents, List.of());
         assertEquals(1, wishes.size(), "one move a node at a time");
--- a/mapd/src/main/java/garnetreel/mapd/MapService.java
+++ b/mapd/src/main/java/garnetreel/mapd/MapService.java
@@ -22,19 +22,15 @@
 import garnetreel.map.MapState;
 import garnetreel.map.Move;
 import garnetreel.map.MoveMachine;
-import garnetreel.map.Rebalancer;
 import garnetreel.map.Transaction;
 import garnetreel.policy.Scheduler.NodeNews;
 import garnetreel.policy.Scheduler.ListKind;
-import garnetreel.policy.Scheduler.NodeState;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -48,16 +44,22 @@
     private static final long SIGN_OF_LIFE = 1_000_000;
     /** A step of a move that failed is asked again after this long. */
     private static final long STEP_AGAIN = 100_000;
-    private static final long LOOK_EVERY = 1_000_000;
     /** Advice to a head that came in a rush, times a chance of its own at the head. */
     private static final long COME_BACK = 500_000;
-    /** Extents of a draining shard that are looked at a time. */
-    private static final int DRAIN_BATCH = 64;
-    private static final int ORDERS_A_TRANSACTION = 40;
+    /** Bytes that an extent that moved takes in a snapshot. */
+    private static final int BYTES_A_MOVED = 20;
+    /** A snapshot is worth writing when at least this part of the extents that moved has changed since. */
+    private static final int SNAPSHOT_SHARE = 20;
 
     /** Asks for a move, as a command does. */
     public record MoveOrder(long volume, long extent, int to) implements NetEvent.Order { }
 
+    /** Asks for a shard to be emptied, or no longer, as a command does. */
+    public record DrainOrder(int shard, boolean on) implements NetEvent.Order { }
+
+    /** Asks for the maps to be taken from nodes, as a command does. */
+    public record AdoptOrder() implements NetEvent.Order { }
+
     private static final class Peer {
         final long conn;
         final ByteQueue in = new ByteQueue();
@@ -85,13 +87,11 @@
     private final MapState state;
     private final ListLink list;
     private final NodeOrders nodes;
-    private final Rebalancer rebalancer;
+    private final Balancing balancing;
+    private final Adopting adopting;
     private final Map<Long, Peer> peers = new TreeMap<>();
     private final Map<Long, Running> moves = new TreeMap<>();
     private final ArrayDeque<Commit> commits = new ArrayDeque<>();
-    private final Map<Integer, Double> loads = new HashMap<>();
-    private final Map<Integer, List<Rebalancer.Extent>> busiest = new HashMap<>();
-    private final TreeSet<Integer> draining = new TreeSet<>();
     private List<NetAction> actions = new ArrayList<>();
     private Transaction writing;
     private Consumer<Transaction> writingDurable;
@@ -99,7 +99,6 @@
     private boolean ready;
     private long now;
     private long signAt;
-    private long lookAt;
     private long listAgainAt;
     private boolean watching;
     private double subscribeTokens;
@@ -107,6 +106,12 @@
     private double copyTokens;
     private long refusedSubscribes;
     private long bytesTold;
+    private long snapshotAt;
+    private long bytesCopied;
+    private boolean renumbering;
+    /** Newest version anyone has told of; past the state's own, this service was restored from something old. */
+    private long heardEpoch;
+    private long heardVersion;
 
     /** @param state what the journal and snapshot of earlier lives say */
     public MapService(MapdSettings settings, MapState state) {
@@ -115,7 +120,10 @@
         ConnectionNumbers numbers = new ConnectionNumbers();
         this.nodes = new NodeOrders(numbers, settings.follower().incarnation(), settings.orderTimeout());
         this.list = new ListLink(settings.follower(), numbers, this::listed);
-        this.rebalancer = new Rebalancer(settings.bounds());
+        this.balancing = new Balancing(settings, state, nodes, wish -> begin(wish.volume(), wish.extent(), wish.to(),
+                "rebalancer", wish.why(), move -> { }));
+        this.adopting = new Adopting(this, state, nodes);
+        this.snapshotAt = state.seq() + settings.snapshotEvery();
     }
 
     @Override
@@ -136,9 +144,12 @@
             list.watch(true);
         }
         if (ready) {
-            look();
-            moves.values().forEach(this::drive);
-            moves.values().removeIf(r -> r.machine.move().state().over());
+            if (!wentBack()) {
+                balancing.look(now);
+                moves.values().forEach(this::drive);
+                moves.values().removeIf(r -> r.machine.move().state().over());
+            }
+            renumber();
         }
         write();
         signOfLife();
@@ -148,15 +159,26 @@
         begun = true;
         tokensAt = now;
         signAt = now + SIGN_OF_LIFE;
-        lookAt = now + LOOK_EVERY;
+        balancing.beginAt(now);
         actions.add(new NetAction.Listen(LISTENER, settings.listen()));
         commits.add(new Commit(() -> state.note("mapd", now, "started"), t -> {
-            nodes.beginAt(t.seq() << ORDERS_A_TRANSACTION);
+            nodes.beginAt(t.epoch(), t.seq());
             state.moves().forEach(m -> moves.put(m.id(), new Running(m)));
             ready = true;
         }));
     }
 
+    /** Orders of one life must stay below those of the next, so a life that gave many begins a new stretch of numbers. */
+    private void renumber() {
+        if (!renumbering && nodes.runsOut()) {
+            renumbering = true;
+            commits.add(new Commit(() -> state.note("mapd", now, "new numbers for orders"), t -> {
+                nodes.beginAt(t.epoch(), t.seq());
+                renumbering = false;
+            }));
+        }
+    }
+
     private void fill() {
         double seconds = (now - tokensAt) / 1e6;
         tokensAt = now;
@@ -191,16 +213,36 @@
             }
         } else if (event instanceof NetEvent.Told told && told.order() instanceof MoveOrder order) {
             begin(order.volume(), order.extent(), order.to(), "script", "asked for", move -> { });
+        } else if (event instanceof NetEvent.Told told && told.order() instanceof DrainOrder order) {
+            commit(() -> state.drain(order.shard(), order.on(), "script", now), t -> { });
+        } else if (event instanceof NetEvent.Told told && told.order() instanceof AdoptOrder) {
+            adopting.begin("script", false, (ok, said) -> actions.add(new NetAction.Note(ok ? Level.INFO : Level.WARN,
+                    said.toString())));
         } else if (event instanceof NetEvent.Appended appended && writing != null
                 && appended.seq() == writing.seq()) {
             Transaction done = writing;
             writing = null;
+            long before = state.epoch();
             state.apply(done);
-            if (!done.changes().isEmpty()) {
-                tellChanges();
+            if (!done.changes().isEmpty() || state.epoch() != before) {
+                tellChanges(before);
             }
             writingDurable.accept(done);
+            keepSnapshot();
+        }
+    }
+
+    /**
+     * Bounds what a restart reads. A snapshot costs as much as the map is large, so a large map is written the more
+     * rarely; the records in between are as many bytes as the snapshot at most.
+     */
+    private void keepSnapshot() {
+        if (state.seq() < snapshotAt) {
+            return;
         }
+        byte[] snapshot = state.snapshot();
+        snapshotAt = state.seq() + Math.max(settings.snapshotEvery(), snapshot.length / BYTES_A_MOVED / SNAPSHOT_SHARE);
+        actions.add(new NetAction.Snapshot(state.seq(), snapshot, MapState.HISTORY));
     }
 
     private void listed(NodeNews news) {
@@ -263,6 +305,7 @@
             return;
         }
         subscribeTokens--;
+        heardOf(subscribe.epoch(), subscribe.version(), "head " + subscribe.head());
         peer.subscribed = true;
         peer.version = state.version();
         say(peer, state.since(subscribe.epoch(), subscribe.version()));
@@ -276,10 +319,59 @@
         }
     }
 
-    private void tellChanges() {
+    /**
+     * Guards against a service that was restored from something old and does not know it: what it decided would build on
+     * places that no longer hold. Whoever tells of a newer version stops it from moving anything until its maps are taken
+     * from the nodes. It could hurt if a peer told of versions that never were; then too the nodes have the truth.
+     */
+    private void heardOf(long epoch, long version, String who) {
+        if (epoch < heardEpoch || epoch == heardEpoch && version <= heardVersion) {
+            return;
+        }
+        heardEpoch = epoch;
+        heardVersion = version;
+        if (wentBack()) {
+            actions.add(new NetAction.Note(Level.WARN, who + " knows of version " + version + " of epoch " + epoch
+                    + ", and this service of " + state.version() + " of " + state.epoch()
+                    + ": it went back, and moves nothing until \"map adopt\""));
+        }
+    }
+
+    /** Whether somebody knows of a newer map than this service. */
+    boolean wentBack() {
+        return heardEpoch > state.epoch() || heardEpoch == state.epoch() && heardVersion > state.version();
+    }
+
+    /** Newest epoch that anyone has told of. */
+    long heardEpoch() {
+        return heardEpoch;
+    }
+
+    /** Newest version of that epoch. */
+    long heardVersion() {
+        return heardVersion;
+    }
+
+    /** The maps were taken from the nodes, durably: moves of before are off, and lost ones are put back. */
+    void adopted(List<Move> lost) {
+        nodes.beginAt(state.epoch(), state.seq());
+        moves.clear();
+        for (Move move : state.moves()) {
+            Move off = new Move(move.id(), move.volume(), move.extent(), move.from(), move.to(), move.oldVersion(),
+                    move.newVersion(), Move.State.ABORTED);
+            commits.add(new Commit(() -> state.next(off, "mapd", now, "overtaken by what nodes hold"), t -> { }));
+        }
+        for (Move move : lost) {
+            commits.add(new Commit(() -> state.next(state.lostMove(move.volume(), move.extent(), move.from(), move.to(),
+                    move.oldVersion()), "mapd", now, "left behind by a lost move"), t ->
+                    moves.put(t.move().id(), new Running(t.move()))));
+        }
+    }
+
+    private void tellChanges(long epoch) {
         for (Peer peer : peers.values()) {
             if (peer.subscribed) {
-                say(peer, state.since(state.epoch(), peer.version));
+                say(peer, state.since(epoch, peer.version));
                 peer.version = state.version();
             }
         }
@@ -300,7 +392,12 @@
 
     /** Begins a move; {@code done} is told the move, or null where it could not begin. */
     void begin(long volume, long extent, int to, String who, String why, Consumer<Move> done) {
-        commits.add(new Commit(() -> state.next(state.newMove(volume, extent, to), who, now, why), t -> {
+        commits.add(new Commit(() -> {
+            if (wentBack()) {
+                throw new IllegalStateException("this service went back and moves nothing until \"map adopt\"");
+            }
+            return state.next(state.newMove(volume, extent, to), who, now, why);
+        }, t -> {
             if (t != null) {
                 moves.put(t.move().id(), new Running(t.move()));
             }
@@ -323,7 +420,7 @@
                     if (t != null) {
                         run.machine.durable(t.move());
                         if (t.move().state() == Move.State.SWITCHED) {
-                            rebalancer.moved(to.volume(), to.extent(), now);
+                            balancing.moved(to.volume(), to.extent(), now);
                         }
                     } else {
                         run.machine.abort("the extent changed meanwhile");
@@ -361,90 +458,34 @@
                         return;
                     }
                     if (!report.ok()) {
+                        heardOf(state.epoch(), report.known(), "shard " + ask.shard());
                         // A fence whose work is not done is asked again soon; it holds the extent's clients.
                         run.notBefore = now + (ask.step() == Step.FENCE ? STEP_AGAIN / 50 : STEP_AGAIN);
                     } else if (ask.step() == Step.TAKE) {
                         copyTokens += ask.room() - report.data().remaining();
+                        bytesCopied += report.data().remaining();
                     }
                     run.machine.reported(report);
                 });
     }
 
-    // ---------------------------------------------------------------- what to move
-
-    private void look() {
-        if (now < lookAt) {
-            return;
-        }
-        lookAt = now + LOOK_EVERY;
-        for (NodeOrders.Node node : nodes.nodes()) {
-            if (node.open) {
-                int shard = node.entry.shard();
-                nodes.send(node, Step.LOAD, 0, 0, 0, 0, 0, NodeMessage.none(), report -> load(shard, report));
-            }
-        }
-        if (!settings.rebalance() && draining.isEmpty()) {
-            return;
-        }
-        List<Rebalancer.Shard> shards = new ArrayList<>();
-        for (NodeOrders.Node node : nodes.nodes()) {
-            int shard = node.entry.shard();
-            boolean cold = node.entry.startedAt() > 0 && now - node.entry.startedAt() < settings.coldFor();
-            shards.add(new Rebalancer.Shard(shard, loads.getOrDefault(shard, 0.0), settings.power(),
-                    draining.contains(shard) || node.entry.state() == NodeState.DRAINING && settings.rebalance(), cold,
-                    node.open));
-        }
-        List<Rebalancer.Extent> extents = new ArrayList<>();
-        if (settings.rebalance()) {
-            busiest.values().forEach(extents::addAll);
-        }
-        draining.forEach(shard -> extents.addAll(held(shard)));
-        for (Rebalancer.Wish wish : rebalancer.wishes(now, shards, extents, state.moves())) {
-            begin(wish.volume(), wish.extent(), wish.to(), "rebalancer", wish.why(), move -> { });
-        }
-    }
+    // ---------------------------------------------------------------- for commands
 
-    private void load(int shard, Report report) {
-        if (report == null) {
-            return;
-        }
-        ByteBuffer data = report.data().duplicate();
-        loads.put(shard, data.getDouble());
-        List<Rebalancer.Extent> extents = new ArrayList<>();
-        while (data.remaining() >= 24) {
-            long volume = data.getLong();
-            long extent = data.getLong();
-            double load = data.getDouble();
-            ExtentMap map = state.map(volume);
-            if (map != null && extent < map.extents() && map.shard(extent) == shard) {
-                extents.add(new Rebalancer.Extent(volume, extent, shard, load));
-            }
-        }
-        busiest.put(shard, extents);
+    MapState state() {
+        return state;
     }
 
-    /** Some of the extents that a shard holds. */
-    private List<Rebalancer.Extent> held(int shard) {
-        List<Rebalancer.Extent> held = new ArrayList<>();
-        for (var volume : state.whole().volumes()) {
-            ExtentMap map = state.map(volume.volume());
-            for (long extent = 0; extent < map.extents() && held.size() < DRAIN_BATCH; extent++) {
-                if (map.shard(extent) == shard) {
-                    held.add(new Rebalancer.Extent(volume.volume(), extent, shard, 0));
-                }
-            }
-        }
-        return held;
+    NodeOrders nodes() {
+        return nodes;
     }
 
-    // ---------------------------------------------------------------- for commands
-
-    MapState state() {
-        return state;
+    Adopting adopting() {
+        return adopting;
     }
 
-    TreeSet<Integer> draining() {
-        return draining;
+    /** Bytes of pages copied so far. */
+    long bytesCopied() {
+        return bytesCopied;
     }
 
     void commit(Supplier<Transaction> make, Consumer<Transaction> durable) {
@@ -487,7 +528,7 @@
         if (!begun) {
             return now;
         }
-        long next = Math.min(Math.min(signAt, lookAt), Math.min(nodes.wakeAt(), list.wakeAt()));
+        long next = Math.min(Math.min(signAt, balancing.lookAt()), Math.min(nodes.wakeAt(), list.wakeAt()));
         if (!watching) {
             next = Math.min(next, listAgainAt);
         }
--- a/mapd/src/main/java/garnetreel/mapd/MapdSettings.java
+++ b/mapd/src/main/java/garnetreel/mapd/MapdSettings.java
@@ -14,6 +14,7 @@
  * @param rebalance whether it moves extents of its own accord
  * @param power units a second a node can do, where nothing else is known
  * @param coldFor time after a start for which a node is given nothing
+ * @param snapshotEvery transactions between two snapshots of the journal
  */
 public record MapdSettings(String listen, HeadSettings follower, long copyRate, int subscribes, long orderTimeout,
-        boolean rebalance, double power, long coldFor, Rebalancer.Bounds bounds) { }
+        boolean rebalance, double power, long coldFor, Rebalancer.Bounds bounds, int snapshotEvery) { }
--- a/mapd/src/main/java/garnetreel/mapd/NodeOrders.java
+++ b/mapd/src/main/java/garnetreel/mapd/NodeOrders.java
@@ -25,6 +25,9 @@
 /** Connections of the map service to nodes, one each, and the orders that are out on them. */
 final class NodeOrders {
     private static final long RECONNECT = 200_000;
+    /** Bits of an order's number: 11 for the epoch, 28 for a transaction, 24 for orders since that transaction. */
+    private static final int EPOCH_AT = 52;
+    private static final int ORDERS = 24;
 
     /** A node that the list names. */
     static final class Node {
@@ -62,9 +65,18 @@
         actions = to;
     }
 
-    /** Orders count up over all lives of the service: what an earlier life sent is older at any node. */
-    void beginAt(long seq) {
-        lastSeq = seq;
+    /**
+     * Orders count up over all lives of the service: what an earlier life sent is older at any node. Each life, and each
+     * life that runs out, begins with a transaction of its own, whose number leads; an epoch leads before that, since
+     * transactions may go back in a restore.
+     */
+    void beginAt(long epoch, long transaction) {
+        lastSeq = epoch << EPOCH_AT | transaction << ORDERS;
+    }
+
+    /** Whether the numbers of this life are near their end. */
+    boolean runsOut() {
+        return (lastSeq & (1L << ORDERS) - 1) > 3L << ORDERS - 2;
     }
 
     void news(NodeNews news) {
--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -46,6 +46,9 @@
         default void append(long seq, byte[] data, Runnable durable) {
             durable.run();
         }
+
+        /** Keeps a snapshot of the journal; of the records it covers the last {@code kept} stay. */
+        default void snapshot(long seq, byte[] data, int kept) { }
     }
 
     private static final int BACKLOG = 1024;
@@ -234,6 +237,8 @@
             keeper.keep(persist.name(), persist.data());
         } else if (action instanceof NetAction.Append append) {
             keeper.append(append.seq(), append.data(), () -> inbox.add(new NetEvent.Appended(append.seq())));
+        } else if (action instanceof NetAction.Snapshot snapshot) {
+            keeper.snapshot(snapshot.seq(), snapshot.data(), snapshot.kept());
         } else if (action instanceof NetAction.Note note) {
             switch (note.level()) {
                 case DEBUG -> log.debug(note.text());
--- a/standin/src/main/java/garnetreel/standin/day/DayRunner.java
+++ b/standin/src/main/java/garnetreel/standin/day/DayRunner.java
@@ -9,7 +9,6 @@
 import garnetreel.core.link.ListLink;
 import garnetreel.core.link.MapLink;
 import garnetreel.map.MapState;
-import garnetreel.map.Transaction;
 import garnetreel.mapd.MapService;
 import garnetreel.standin.client.ClientMachine;
 import garnetreel.standin.client.LoadSettings;
@@ -30,6 +29,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.UnaryOperator;
 
 /** Plays a day on a stage: launches everything, makes the troubles happen, and has the traces judged. */
@@ -40,6 +40,7 @@
     /** A node that drains is gone so long after its grace. */
     private static final long DRAIN_WORK = 1_000_000;
     private static final int SEED_STEP = 1_000;
+    private static final long ADOPT_AFTER = 3_000_000;
 
     /** How a day went. */
     public record Result(Map<String, Map<String, ClientMachine.Tally>> tallies, List<Verdict> verdicts,
@@ -115,7 +116,8 @@
     private final Map<String, ClientMachine> loads = new LinkedHashMap<>();
     private final PriorityQueue<Step> steps = new PriorityQueue<>((a, b) -> a.at() != b.at()
             ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
-    private final List<byte[]> mapJournal = new ArrayList<>();
+    private final TreeMap<Long, byte[]> mapJournal = new TreeMap<>();
+    private byte[] mapSnapshot;
     private Stage.Actor map;
     private Stage.Actor list;
     private String listAddress = ANY_PORT;
@@ -188,9 +190,9 @@
     }
 
     private void startMap() {
-        MapState state = new MapState(day.map().begin(), 0);
+        MapState state;
         synchronized (mapJournal) {
-            mapJournal.forEach(record -> state.apply(Transaction.of(record)));
+            state = MapState.recover(day.map().begin(), mapSnapshot, List.copyOf(mapJournal.values()));
         }
         map = stage.launch("mapd", new MapService(day.map().settings().apply(mapAddress, listAddress), state),
                 new Stage.Keeper() {
@@ -202,7 +204,15 @@
                     @Override
                     public void append(long seq, byte[] data) {
                         synchronized (mapJournal) {
-                            mapJournal.add(data);
+                            mapJournal.put(seq, data);
+                        }
+                    }
+
+                    @Override
+                    public void snapshot(long seq, byte[] data, int kept) {
+                        synchronized (mapJournal) {
+                            mapSnapshot = data;
+                            mapJournal.headMap(seq - kept, true).clear();
                         }
                     }
                 });
@@ -218,10 +228,24 @@
             VolumeMap volume = volumes.get(random.nextInt(volumes.size()));
             MapService.MoveOrder order = new MapService.MoveOrder(volume.volume(),
                     random.nextLong(volume.extents()), shards.get(random.nextInt(shards.size())));
-            at(begin + day.length() * i / moves, () -> map.tell(order));
+            at(begin + day.map().movesFrom() + day.map().movesFor() * i / moves, () -> map.tell(order));
+        }
+        if (day.map() != null) {
+            day.map().script().forEach(s -> at(begin + s.at(), () -> map.tell(s.order())));
         }
     }
 
+    /** What a backup of some transactions ago held. */
+    private void restoreMap(int transactions) {
+        synchronized (mapJournal) {
+            for (int left = transactions; left > 0 && mapJournal.size() > 1; left--) {
+                mapJournal.pollLastEntry();
+            }
+            mapSnapshot = null;
+        }
+        startMap();
+    }
+
     private void startList(List<Entry> entries) {
         list = stage.launch("list", new ListMachine("list", listAddress, entries, day.listLag(), trace),
                 Stage.Keeper.NONE);
@@ -258,6 +282,7 @@
             case NODE_LOST_ANSWERS -> fault(t, from, to, NodeFault.Kind.LOSE_ANSWERS);
             case NODE_CUT -> fault(t, from, to, NodeFault.Kind.CUT_AFTER);
             case NODE_HALF_OPEN -> fault(t, from, to, NodeFault.Kind.HALF_OPEN);
+            case NODE_CUT_OFF -> fault(t, from, to, NodeFault.Kind.CUT_OFF);
             case NODE_REFUSE -> fault(t, from, to, NodeFault.Kind.REFUSE);
             case NODE_CORRUPT -> fault(t, from, to, NodeFault.Kind.CORRUPT);
             case LIST_LAG -> {
@@ -281,6 +306,12 @@
                 at(from, () -> map.kill());
                 at(to, this::startMap);
             }
+            case MAP_RESTORE -> {
+                at(from, () -> map.kill());
+                at(to, () -> restoreMap((int) t.amount()));
+                // Whoever is on call reads that it went back, and has it take its maps from the nodes.
+                at(to + ADOPT_AFTER, () -> map.tell(new MapService.AdoptOrder()));
+            }
             case MAP_STALL -> at(from, () -> map.stall(t.length()));
             case HEAD_CRASH -> t.heads().forEach(h -> {
                 at(from, () -> heads.get(h).actor.kill());
--- a/standin/src/main/java/garnetreel/standin/day/DaySettings.java
+++ b/standin/src/main/java/garnetreel/standin/day/DaySettings.java
@@ -2,6 +2,7 @@
 
 import garnetreel.codec.map.MapMessage.Whole;
 import garnetreel.core.HeadSettings;
+import garnetreel.core.io.NetEvent;
 import garnetreel.mapd.MapdSettings;
 import garnetreel.policy.Scheduler;
 import garnetreel.standin.client.LoadSettings;
@@ -30,9 +31,15 @@
      *
      * @param settings of the service, from where it listens and where the list is
      * @param begin the maps at first
-     * @param moves scripted moves in all, dealt out evenly over the day
+     * @param moves moves of extents chosen by chance, in all, dealt out evenly over {@code movesFor} from
+     *     {@code movesFrom} on
+     * @param script what is asked at a time: moves of extents that are named, and drains
      */
-    public record MapDay(BiFunction<String, String, MapdSettings> settings, Whole begin, int moves) { }
+    public record MapDay(BiFunction<String, String, MapdSettings> settings, Whole begin, int moves, long movesFrom,
+            long movesFor, List<Scripted> script) { }
+
+    /** What the map service is told at a time after the day's beginning. */
+    public record Scripted(long at, NetEvent.Order order) { }
 
     /** Where a head of the day is. */
     public record Place(int head, long incarnation, String listen, String list, String map) { }
--- a/standin/src/main/java/garnetreel/standin/day/Stage.java
+++ b/standin/src/main/java/garnetreel/standin/day/Stage.java
@@ -24,6 +24,9 @@
 
         /** Makes a record of the journal durable. */
         default void append(long seq, byte[] data) { }
+
+        /** Keeps a snapshot of the journal; of the records it covers the last {@code kept} stay. */
+        default void snapshot(long seq, byte[] data, int kept) { }
     }
 
     /** A machine that runs. */
--- a/standin/src/main/java/garnetreel/standin/day/Trouble.java
+++ b/standin/src/main/java/garnetreel/standin/day/Trouble.java
@@ -21,6 +21,8 @@
         NODE_SLOW, NODE_ERRORS, NODE_LOST_ANSWERS, NODE_CUT, NODE_HALF_OPEN, NODE_REFUSE, NODE_CORRUPT,
         /** Nodes drain, go, and are replaced cold. */
         NODE_DRAIN,
+        /** Nodes and the map service can't reach each other; heads reach both. */
+        NODE_CUT_OFF,
         /** The list shows changes {@code amount} seconds late. */
         LIST_LAG,
         LIST_FAIL, LIST_SILENT, LIST_CRASH,
@@ -28,6 +30,8 @@
         MAP_CRASH,
         /** The map service gets no turn. */
         MAP_STALL,
+        /** The map service is killed, and comes back with its journal as it was {@code amount} transactions ago. */
+        MAP_RESTORE,
         /** Heads are killed, and come back. */
         HEAD_CRASH,
         /** Heads get no turn. */
--- a/standin/src/main/java/garnetreel/standin/node/Disk.java
+++ b/standin/src/main/java/garnetreel/standin/node/Disk.java
@@ -193,6 +193,28 @@
         holds.crash();
     }
 
+    /** Bytes of pages that are kept. */
+    public long used() {
+        long pages = durable.size();
+        for (Map.Entry<Long, Page> entry : unflushed.entrySet()) {
+            boolean kept = durable.containsKey(entry.getKey());
+            pages += entry.getValue() == TRIMMED ? kept ? -1 : 0 : kept ? 0 : 1;
+        }
+        return pages * PAGE;
+    }
+
+    /** CRC32C of a range as it would be read. */
+    int sum(long volume, long offset, long length) throws Damaged {
+        CRC32C crc = new CRC32C();
+        ByteBuffer page = ByteBuffer.allocate(PAGE);
+        for (long at = offset; at < offset + length; at += PAGE) {
+            page.clear();
+            read(volume, at, (int) Math.min(PAGE, offset + length - at), page);
+            crc.update(page.flip());
+        }
+        return (int) crc.getValue();
+    }
+
     /** Flips a bit of a page that is kept; false when there is none. For tests of damage. */
     public boolean damage(long volume, long offset) {
         Page page = page(volume, offset / PAGE);
--- a/standin/src/main/java/garnetreel/standin/node/Holds.java
+++ b/standin/src/main/java/garnetreel/standin/node/Holds.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -30,9 +31,15 @@
         }
     }
 
-    private record Spot(long volume, long extent) { }
+    /** Names an extent; in order of volume, then extent. */
+    record Spot(long volume, long extent) implements Comparable<Spot> {
+        @Override
+        public int compareTo(Spot other) {
+            return volume != other.volume ? Long.compare(volume, other.volume) : Long.compare(extent, other.extent);
+        }
+    }
 
-    private final Map<Spot, Hold> holds = new HashMap<>();
+    private final TreeMap<Spot, Hold> holds = new TreeMap<>();
     private final Map<Long, Integer> extentBytes = new HashMap<>();
 
     /** Extent of an offset; -1 where no extent of the volume ever moved here. */
@@ -83,6 +90,16 @@
                 mine ? FIRST : 0));
     }
 
+    /** Entries after an extent, in order. */
+    Map<Spot, Hold> after(long volume, long extent) {
+        return holds.tailMap(new Spot(volume, extent), false);
+    }
+
+    /** Size of a volume's extents, where one of them has an entry. */
+    int extentBytes(long volume) {
+        return extentBytes.get(volume);
+    }
+
     /** A crash: what was being copied must be copied anew. */
     void crash() {
         holds.values().forEach(h -> h.changed = null);
--- a/standin/src/main/java/garnetreel/standin/node/Mover.java
+++ b/standin/src/main/java/garnetreel/standin/node/Mover.java
@@ -7,11 +7,14 @@
 import garnetreel.standin.node.Holds.Hold;
 import garnetreel.standin.node.Holds.State;
 import java.nio.ByteBuffer;
+import java.util.Map;
 import java.util.TreeSet;
 
 /** A node's part in moves: carries out the orders of the map service on its disk. */
 final class Mover {
     private static final int HOLE = 1 << 31;
+    /** Bytes of an entry in a report of holds. */
+    private static final int ENTRY = 29;
 
     private final Disk disk;
     private final long life;
@@ -24,7 +27,7 @@
     /** @param inWork whether requests for the extent are in work */
     Report carryOut(Order o, boolean inWork) {
         boolean toOld = switch (o.step()) {
-            case TRACK, TAKE, FENCE, RELEASE, UNFENCE -> true;
+            case TRACK, TAKE, FENCE, RELEASE, UNFENCE, SUM -> true;
             default -> false;
         };
         Hold hold = disk.holds().entry(o.volume(), o.extent(), o.extentBytes(), toOld);
@@ -104,12 +107,43 @@
                 }
                 return report(o, true, hold);
             }
+            case SUM -> {
+                return sum(o, hold, begin);
+            }
             default -> {
                 return report(o, false, hold);
             }
         }
     }
 
+    private Report sum(Order o, Hold hold, long begin) {
+        if (hold.state != State.SERVING || hold.version != o.version()) {
+            return report(o, false, hold);
+        }
+        try {
+            ByteBuffer sum = ByteBuffer.allocate(4).putInt(disk.sum(o.volume(), begin, o.extentBytes())).flip();
+            return new Report(o.seq(), true, false, life, hold.version, sum);
+        } catch (Damaged e) {
+            return report(o, false, hold);
+        }
+    }
+
+    /** Entries after the one that the order names, as many as there is room for. */
+    Report holds(Order o) {
+        ByteBuffer out = ByteBuffer.allocate(Math.max(ENTRY, o.room()));
+        boolean more = false;
+        for (Map.Entry<Holds.Spot, Hold> entry : disk.holds().after(o.volume(), o.extent()).entrySet()) {
+            if (out.remaining() < ENTRY) {
+                more = true;
+                break;
+            }
+            out.putLong(entry.getKey().volume()).putLong(entry.getKey().extent())
+                    .putInt(disk.holds().extentBytes(entry.getKey().volume()))
+                    .put((byte) entry.getValue().state.ordinal()).putLong(entry.getValue().version);
+        }
+        return new Report(o.seq(), true, more, life, 0, out.flip());
+    }
+
     private Report take(Order o, Hold hold, long begin) {
         ByteBuffer pages = ByteBuffer.allocate(Math.max(Disk.PAGE + 4, o.room()));
         while (!hold.changed.isEmpty() && pages.remaining() >= Disk.PAGE + 4) {
--- a/standin/src/main/java/garnetreel/standin/node/NodeFault.java
+++ b/standin/src/main/java/garnetreel/standin/node/NodeFault.java
@@ -27,6 +27,8 @@
         REFUSE,
         /** Flips a byte in this share of answers. */
         CORRUPT,
+        /** Hears nothing of the map service, nor it of the node; heads are served as before. */
+        CUT_OFF,
         /** Drains: tells the list, and answers new work with FULL after {@code amount} microseconds. */
         DRAIN
     }
--- a/standin/src/main/java/garnetreel/standin/node/NodeMachine.java
+++ b/standin/src/main/java/garnetreel/standin/node/NodeMachine.java
@@ -299,11 +299,16 @@
 
     /** An order of the map service. What it costs the node counts as its work does: it goes through no queue here. */
     private void order(Peer peer, NodeMessage.Order order) {
-        if (mute()) {
+        if (mute() || faults.containsKey(NodeFault.Kind.CUT_OFF)) {
             return;
         }
         if (order.step() == NodeMessage.Step.LOAD) {
-            write(peer, new NodeMessage.Report(order.seq(), true, false, life, 0, meter.take(now)));
+            write(peer, new NodeMessage.Report(order.seq(), true, false, life, 0, meter.take(now, settings.cores(),
+                    disk.used(), settings.capacity())));
+            return;
+        }
+        if (order.step() == NodeMessage.Step.HOLDS) {
+            write(peer, mover.holds(order));
             return;
         }
         boolean inWork = false;
@@ -415,6 +420,7 @@
                 finish(job);
             } else {
                 busy++;
+                meter.worked(time);
                 working.computeIfAbsent(now + time, any -> new ArrayList<>(1)).add(job);
             }
         }
--- a/store/src/main/java/garnetreel/store/Journal.java
+++ b/store/src/main/java/garnetreel/store/Journal.java
@@ -10,13 +10,21 @@
 import org.h2.mvstore.MVStoreException;
 
 /**
- * Numbered records in an H2 MVStore file: each is durable when {@link #append} returns, and after a kill at any moment
- * all records up to some number are there. MVStore writes whole checksummed chunks and, on opening, goes back to the last
- * one that is complete.
+ * Numbered records in an H2 MVStore file, and a snapshot of what the first of them say: each is durable when its call
+ * returns, and after a kill at any moment all records up to some number are there. MVStore writes whole checksummed
+ * chunks and, on opening, goes back to the last one that is complete; a snapshot and the end of the records that it
+ * covers are one chunk, so neither is ever seen without the other.
  */
 public final class Journal implements AutoCloseable {
+    /** Time MVStore may spend on giving freed space back when it is asked to, in milliseconds. */
+    private static final int COMPACT_MS = 50;
+
     private final MVStore store;
     private final MVMap<Long, byte[]> records;
+    private final MVMap<Long, byte[]> snapshots;
+
+    /** What a journal holds: the last snapshot (null for none) and the records there are, in order. */
+    public record Kept(byte[] snapshot, List<byte[]> records) { }
 
     /** Opens or makes a journal. */
     public Journal(Path file) throws IOException {
@@ -29,6 +37,7 @@
             throw new IOException("journal " + file + " can't be opened: " + e.getMessage(), e);
         }
         records = store.openMap("records");
+        snapshots = store.openMap("snapshots");
     }
 
     /** Adds a record, durably. Numbers count up by one. */
@@ -42,9 +51,25 @@
         store.sync();
     }
 
-    /** All records in order. */
-    public synchronized List<byte[]> records() {
-        return new ArrayList<>(records.values());
+    /** Keeps a snapshot of all records up to {@code seq}, and of these the last {@code kept}. */
+    public synchronized void snapshot(long seq, byte[] data, int kept) {
+        if (records.lastKey() == null || seq > records.lastKey()) {
+            throw new IllegalArgumentException("a snapshot of record " + seq + ", and the last is " + records.lastKey());
+        }
+        List.copyOf(snapshots.keySet()).forEach(snapshots::remove);
+        snapshots.put(seq, data);
+        for (Long first = records.firstKey(); first != null && first <= seq - kept; first = records.firstKey()) {
+            records.remove(first);
+        }
+        store.commit();
+        store.sync();
+        store.compactFile(COMPACT_MS);
+    }
+
+    /** All that is kept. */
+    public synchronized Kept kept() {
+        return new Kept(snapshots.isEmpty() ? null : snapshots.get(snapshots.lastKey()),
+                new ArrayList<>(records.values()));
     }
 
     @Override
--- a/store/src/test/java/garnetreel/store/JournalTest.java
+++ b/store/src/test/java/garnetreel/store/JournalTest.java
@@ -29,10 +29,10 @@
         Path file = temp.resolve("deep/journal");
         write(file, 3);
         try (Journal journal = new Journal(file)) {
-            assertEquals(3, journal.records().size());
+            assertEquals(3, journal.kept().records().size());
             assertThrows(IllegalArgumentException.class, () -> journal.append(5, new byte[0]));
             journal.append(4, new byte[] {4});
-            assertEquals(4, journal.records().get(3)[0]);
+            assertEquals(4, journal.kept().records().get(3)[0]);
         }
     }
 
@@ -46,7 +46,7 @@
             Path torn = temp.resolve("torn-" + cut);
             Files.write(torn, Arrays.copyOf(whole, cut));
             try (Journal journal = new Journal(torn)) {
-                List<byte[]> records = journal.records();
+                List<byte[]> records = journal.kept().records();
                 for (int i = 0; i < records.size(); i++) {
                     assertEquals(i + 1, records.get(i)[0], "cut at " + cut);
                 }
