A stopped head takes what waited in its sockets for as old as its sleep; map commands; service jar

No stopped process can answer, but the head also took requests that had waited in its sockets for new and served them up to a deadline after their clients had given up. Change: a head with clients takes a turn every 50 ms, so a gap past 200 ms means it was stopped; what is read in the 100 ms after counts as come when it stopped, and what is past its deadline is refused unsent.

--- a/cli/src/main/java/garnetreel/cli/CheckConfigCommand.java
+++ b/cli/src/main/java/garnetreel/cli/CheckConfigCommand.java
@@ -25,7 +25,7 @@
         Settings settings = Settings.read(file);
         spec.commandLine().getOut().println(file + ": fine: " + settings.heads() + " heads, "
                 + settings.volumes().size() + " volumes, " + settings.classes().size() + " classes, "
-                + settings.plans().size() + " plans, " + settings.nodes().size() + " nodes");
+                + settings.plans().size() + " plans, " + settings.root().path("node").size() + " nodes");
         return Main.FINE;
     }
 }
--- a/cli/src/main/java/garnetreel/cli/Logging.java
+++ b/cli/src/main/java/garnetreel/cli/Logging.java
@@ -11,12 +11,12 @@
 import org.slf4j.LoggerFactory;
 
 /** Logs to standard error: JSON lines for machines, or plain lines for people. */
-final class Logging {
-    enum Format { plain, json }
+public final class Logging {
+    public enum Format { plain, json }
 
     private Logging() { }
 
-    static void configure(Format format, String level) {
+    public static void configure(Format format, String level) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
         Encoder<ILoggingEvent> encoder;
--- a/cli/src/main/java/garnetreel/cli/Main.java
+++ b/cli/src/main/java/garnetreel/cli/Main.java
@@ -1,7 +1,9 @@
 package garnetreel.cli;
 
 import garnetreel.cli.config.SettingsException;
+import garnetreel.cli.map.MapCommand;
 import java.io.IOException;
+import java.util.List;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -9,12 +11,12 @@
 /** The command line. Exit codes: 0 fine, 1 failed or a rule broken, 2 wrong usage or settings. */
 @Command(name = "garnetreel", mixinStandardHelpOptions = true, version = "garnetreel 0.2.0",
         description = "A storage gateway that schedules a host's reads and writes over storage nodes.",
-        subcommands = {DevCommand.class, ServeCommand.class, NodeCommand.class, NodeListCommand.class,
-            CheckConfigCommand.class, DayCommand.class, BenchCommand.class, MapdCommand.class, MapCommand.class, CommandLine.HelpCommand.class})
+        subcommands = {ServeCommand.class, MapdCommand.class, MapCommand.class, CheckConfigCommand.class,
+            CommandLine.HelpCommand.class})
 public final class Main {
-    static final int FINE = 0;
-    static final int FAILED = 1;
-    static final int USAGE = 2;
+    public static final int FINE = 0;
+    public static final int FAILED = 1;
+    public static final int USAGE = 2;
 
     @Option(names = "--log", description = "Form of log lines on standard error: ${COMPLETION-CANDIDATES}.",
             defaultValue = "plain", scope = CommandLine.ScopeType.INHERIT)
@@ -27,14 +29,19 @@
     private Main() { }
 
     public static void main(String[] arguments) {
-        System.exit(run(arguments));
+        System.exit(run(List.of(), arguments));
     }
 
-    /** Runs one command and gives its exit code. */
-    static int run(String... arguments) {
+    /**
+     * Runs one command and gives its exit code.
+     *
+     * @param also commands besides those of the service
+     */
+    public static int run(List<Object> also, String... arguments) {
         System.setProperty("org.jboss.logging.provider", "slf4j");
         Main main = new Main();
         CommandLine line = new CommandLine(main);
+        also.forEach(line::addSubcommand);
         line.setExecutionStrategy(parsed -> {
             Logging.configure(main.format, main.level);
             return new CommandLine.RunLast().execute(parsed);
--- a/cli/src/main/java/garnetreel/cli/Process.java
+++ b/cli/src/main/java/garnetreel/cli/Process.java
@@ -19,25 +19,25 @@
 import java.util.concurrent.TimeoutException;
 
 /** What runs in this process: one clock, and the machines on it. */
-final class Process implements AutoCloseable {
+public final class Process implements AutoCloseable {
     private static final int BIND_SECONDS = 10;
 
-    final Clock clock = Clock.system();
+    public final Clock clock = Clock.system();
     private final Deque<AutoCloseable> running = new ArrayDeque<>();
 
     /** Runs a machine that keeps nothing. */
-    Driver run(String name, Machine machine) throws IOException {
+    public Driver run(String name, Machine machine) throws IOException {
         return run(name, machine, (state, data) -> { });
     }
 
-    Driver run(String name, Machine machine, Driver.Keeper keeper) throws IOException {
+    public Driver run(String name, Machine machine, Driver.Keeper keeper) throws IOException {
         Driver driver = new Driver(name, machine, clock, keeper).start();
         running.push(driver);
         return driver;
     }
 
     /** Runs a head; it remembers the node list in {@code state}, or not at all where that is null. */
-    Driver head(HeadSettings settings, Path state) throws IOException {
+    public Driver head(HeadSettings settings, Path state) throws IOException {
         byte[] remembered = null;
         byte[] rememberedMap = null;
         Driver.Keeper keeper = (name, data) -> { };
@@ -54,13 +54,13 @@
     }
 
     /** Ends one machine at once. */
-    void end(Driver driver) {
+    public void end(Driver driver) {
         running.remove(driver);
         driver.close();
     }
 
     /** The address that a listener is bound to. */
-    static String bound(Driver driver, String listener) throws IOException {
+    public static String bound(Driver driver, String listener) throws IOException {
         try {
             return driver.bound(listener).get(BIND_SECONDS, TimeUnit.SECONDS);
         } catch (ExecutionException e) {
@@ -77,7 +77,7 @@
      * Makes an end of this process by signal a drain of the head: nothing new, everything taken answered, and an exit
      * with 0 within the longest deadline.
      */
-    void drainAtEnd(Driver head, long longestDeadlineMicros) {
+    public void drainAtEnd(Driver head, long longestDeadlineMicros) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             head.tell(new Head.Drain());
             boolean clean = true;
@@ -92,7 +92,7 @@
     }
 
     /** Waits until a machine ends by itself. */
-    static int untilStopped(Driver driver) {
+    public static int untilStopped(Driver driver) {
         try {
             driver.stopped().get();
             return Main.FINE;
--- a/cli/src/main/java/garnetreel/cli/config/Quantities.java
+++ b/cli/src/main/java/garnetreel/cli/config/Quantities.java
@@ -3,11 +3,11 @@
 import java.util.Locale;
 
 /** Durations and sizes as people write them; the schema has checked their form. */
-final class Quantities {
+public final class Quantities {
     private Quantities() { }
 
     /** Microseconds of "250ms", "2.5s", "10m", "1h" or "90us". */
-    static long micros(String text) {
+    public static long micros(String text) {
         int unit = 0;
         while (unit < text.length() && (Character.isDigit(text.charAt(unit)) || text.charAt(unit) == '.')) {
             unit++;
@@ -23,7 +23,7 @@
     }
 
     /** Bytes of "512B", "4KiB", "64MiB", "2GiB" or "1TiB". */
-    static long bytes(String text) {
+    public static long bytes(String text) {
         int unit = 0;
         while (unit < text.length() && Character.isDigit(text.charAt(unit))) {
             unit++;
--- a/cli/src/main/java/garnetreel/cli/config/Settings.java
+++ b/cli/src/main/java/garnetreel/cli/config/Settings.java
@@ -17,7 +17,6 @@
 import garnetreel.policy.Scheduler.Plan;
 import garnetreel.policy.Scheduler.RequestClass;
 import garnetreel.policy.Scheduler.Rules;
-import garnetreel.standin.node.NodeSettings;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -43,7 +42,6 @@
     private final Map<String, Plan> plans = new LinkedHashMap<>();
     private final Map<String, Volume> volumes = new LinkedHashMap<>();
     private final Map<Integer, String> listens = new TreeMap<>();
-    private final Map<String, NodeSettings> nodes = new LinkedHashMap<>();
     private final Rules rules;
     private final Bounds bounds;
     private final Links links;
@@ -94,7 +92,6 @@
             check(number < heads, path, "has number " + number + ", and the service has " + heads + " heads");
             listens.put(number, text(path + "/listen", "127.0.0.1:0"));
         });
-        each("node", (name, path) -> nodes.put(name, node(name, path)));
         long partBytes = (long) mostUnits() * bounds.unitBytes();
         check(partBytes <= PART_MOST, "/bounds/unit", "times module most_units is " + partBytes + " bytes; "
                 + PART_MOST + " at most, the largest part of a request");
@@ -103,11 +100,13 @@
         check(bounds.keyBytes() >= 512, "/bounds/key", "is " + bounds.keyBytes() + " bytes; 512B at least");
     }
 
-    private interface Item {
+    /** What is done with a block. */
+    public interface Item {
         void load(String name, String path);
     }
 
-    private void each(String kind, Item item) {
+    /** Calls for each block of a kind, with its label and its path. */
+    public void each(String kind, Item item) {
         root.path(kind).fieldNames().forEachRemaining(name -> item.load(name, "/" + kind + "/" + escaped(name)));
     }
 
@@ -175,19 +174,6 @@
         return name;
     }
 
-    private NodeSettings node(String name, String path) {
-        return new NodeSettings(name, text(path + "/listen", "127.0.0.1:0"), text("/service/list", ""),
-                text(path + "/zone", "zone-a"), (int) number(path + "/shard", 0), (int) number(path + "/cores", 4),
-                (int) number(path + "/queue", 64), (int) number(path + "/connections", 256),
-                micros(path + "/base_work", "0s"), micros(path + "/unit_work", "0s"),
-                number(path + "/power", 1e9), flag(path + "/warm", true),
-                number(path + "/cold_share", rules.coldShare()), has(path + "/warm_within")
-                ? micros(path + "/warm_within", "0s") : rules.warmWithin(), rules.fallMultiple(), rules.fall(),
-                number(path + "/defer_share", 0), micros(path + "/flush_every", "1s"),
-                flag(path + "/journal", false), micros(path + "/pause_every", "0s"), micros(path + "/pause_most", "0s"),
-                micros(path + "/repeat_window", "5s"), bytes(path + "/capacity", "1TiB"));
-    }
-
     private void check(boolean holds, String path, String problem) {
         if (!holds) {
             problems.add(file.at(path) + problem);
@@ -196,7 +182,7 @@
 
     // ---------------------------------------------------------------- values
 
-    private boolean has(String path) {
+    public boolean has(String path) {
         return !root.at(path).isMissingNode();
     }
 
@@ -268,10 +254,6 @@
         return plans;
     }
 
-    public Map<String, NodeSettings> nodes() {
-        return nodes;
-    }
-
     /** Longest deadline of a class. */
     public long longestDeadline() {
         return classes.values().stream().mapToLong(RequestClass::deadline).max().orElse(0);
--- a/cli/src/main/java/garnetreel/cli/BenchCommand.java
+++ b/cli/src/main/java/garnetreel/cli/trial/BenchCommand.java
@@ -1,7 +1,9 @@
-package garnetreel.cli;
+package garnetreel.cli.trial;
 
-import garnetreel.cli.bench.Bench;
-import garnetreel.cli.bench.Soak;
+import garnetreel.cli.Main;
+import garnetreel.cli.Process;
+import garnetreel.cli.trial.bench.Bench;
+import garnetreel.cli.trial.bench.Soak;
 import garnetreel.cli.config.SettingsException;
 import garnetreel.core.Head;
 import java.io.IOException;
--- a/cli/src/main/java/garnetreel/cli/DayCommand.java
+++ b/cli/src/main/java/garnetreel/cli/trial/DayCommand.java
@@ -1,6 +1,6 @@
-package garnetreel.cli;
+package garnetreel.cli.trial;
 
-import garnetreel.cli.config.DayFile;
+import garnetreel.cli.Main;
 import garnetreel.cli.config.SettingsException;
 import garnetreel.emulator.World;
 import garnetreel.standin.client.ClientMachine.Tally;
--- a/cli/src/main/java/garnetreel/cli/NodeCommand.java
+++ b/cli/src/main/java/garnetreel/cli/trial/NodeCommand.java
@@ -1,5 +1,7 @@
-package garnetreel.cli;
+package garnetreel.cli.trial;
 
+import garnetreel.cli.Main;
+import garnetreel.cli.Process;
 import garnetreel.cli.config.Settings;
 import garnetreel.cli.config.SettingsException;
 import garnetreel.net.Driver;
@@ -37,7 +39,7 @@
     @Override
     public Integer call() throws SettingsException, IOException {
         Settings settings = Settings.read(file);
-        NodeSettings node = settings.nodes().get(name);
+        NodeSettings node = NodeFile.of(settings).get(name);
         if (node == null) {
             throw new SettingsException(List.of(settings.at("/node") + "has no block node \"" + name + "\""));
         }
--- a/cli/src/main/java/garnetreel/cli/NodeListCommand.java
+++ b/cli/src/main/java/garnetreel/cli/trial/NodeListCommand.java
@@ -1,5 +1,6 @@
-package garnetreel.cli;
+package garnetreel.cli.trial;
 
+import garnetreel.cli.Process;
 import garnetreel.cli.config.Settings;
 import garnetreel.cli.config.SettingsException;
 import garnetreel.net.Driver;
--- a/cli/src/main/java/garnetreel/cli/SocketStage.java
+++ b/cli/src/main/java/garnetreel/cli/trial/SocketStage.java
@@ -1,5 +1,6 @@
-package garnetreel.cli;
+package garnetreel.cli.trial;
 
+import garnetreel.cli.Process;
 import garnetreel.core.io.Machine;
 import garnetreel.core.io.NetEvent;
 import garnetreel.net.Driver;
--- a/cli/src/main/java/garnetreel/cli/bench/Bench.java
+++ b/cli/src/main/java/garnetreel/cli/trial/bench/Bench.java
@@ -1,8 +1,8 @@
-package garnetreel.cli.bench;
+package garnetreel.cli.trial.bench;
 
 import com.sun.management.ThreadMXBean;
-import garnetreel.cli.bench.NbdLoad.Case;
-import garnetreel.cli.bench.NbdLoad.Outcome;
+import garnetreel.cli.trial.bench.NbdLoad.Case;
+import garnetreel.cli.trial.bench.NbdLoad.Outcome;
 import garnetreel.core.Head;
 import garnetreel.core.HeadSettings;
 import garnetreel.core.io.Machine;
--- a/cli/src/main/java/garnetreel/cli/bench/NbdLoad.java
+++ b/cli/src/main/java/garnetreel/cli/trial/bench/NbdLoad.java
@@ -1,4 +1,4 @@
-package garnetreel.cli.bench;
+package garnetreel.cli.trial.bench;
 
 import garnetreel.codec.nbd.Nbd;
 import garnetreel.net.Addresses;
--- a/cli/src/main/java/garnetreel/cli/bench/TimedScheduler.java
+++ b/cli/src/main/java/garnetreel/cli/trial/bench/TimedScheduler.java
@@ -1,4 +1,4 @@
-package garnetreel.cli.bench;
+package garnetreel.cli.trial.bench;
 
 import garnetreel.policy.Scheduler;
 import java.util.List;
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/trial/lab/MovesLab.java
@@ -0,0 +1,192 @@
+package garnetreel.cli.trial.lab;
+
+import garnetreel.cli.trial.DayFile;
+import garnetreel.codec.map.MapMessage.VolumeMap;
+import garnetreel.core.HeadSettings;
+import garnetreel.core.HeadSettings.Links;
+import garnetreel.emulator.World;
+import garnetreel.mapd.MapService;
+import garnetreel.standin.day.DayRunner;
+import garnetreel.standin.day.DaySettings;
+import garnetreel.standin.trace.Trace;
+import garnetreel.standin.trace.TraceEvent;
+import garnetreel.standin.trace.TraceEvent.Kind;
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
+import org.HdrHistogram.Histogram;
+
+/**
+ * The same day of load played with no moves, with heads that ask for the map when a node says they are wrong, and with
+ * heads that follow the map service; emulated, so that a row differs from another by that alone.
+ *
+ * <p>All moves are of the first volume, so that the others show what moves cost those who are not concerned.
+ */
+public final class MovesLab {
+    private static final long START = 1_800_000_000_000_000L;
+    private static final long TRANSIT = 10_000;
+    /** A stale answer so long after a switch is of another move. */
+    private static final long BELONGS = 10_000_000;
+
+    private enum Way {
+        NO_MOVES("fixed rule, no moves"), ON_STALE("asked for after a stale answer"), FOLLOWING("subscription");
+
+        final String words;
+
+        Way(String words) {
+            this.words = words;
+        }
+    }
+
+    /** Sums over the days of one row. */
+    private static final class Row {
+        long moves;
+        long arrived;
+        long stale;
+        long asked;
+        long undone;
+        long late;
+        long broken;
+        final Histogram before = new Histogram(3);
+        final Histogram during = new Histogram(3);
+        final Histogram untilLast = new Histogram(3);
+        final Histogram moved = new Histogram(3);
+    }
+
+    private record Spot(long volume, long extent) { }
+
+    private final PrintWriter out;
+    private final DayFile file;
+    private final int seeds;
+
+    public MovesLab(PrintWriter out, DayFile file, int seeds) {
+        this.out = out;
+        this.file = file;
+        this.seeds = seeds;
+    }
+
+    /** Prints a line a way; false where a rule broke. */
+    public boolean run() {
+        out.println("Emulated, " + seeds + " seeds a row; times in milliseconds.");
+        out.println("| heads learn of moves | moves | attempts | misdirected per thousand | requests | not served | late % | "
+                + "others p99 before | during | moved volume p99 during | moves with a misdirected request | "
+                + "switch to the last: p50 | p99 | most | rules |");
+        out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        boolean kept = true;
+        for (Way way : Way.values()) {
+            Row row = new Row();
+            for (long seed = 1; seed <= seeds; seed++) {
+                DaySettings day = day(way, seed);
+                add(row, day, new DayRunner(day, new World(START, seed, new World.Delays(50, 200)), Trace.NONE,
+                        UnaryOperator.identity()).run());
+            }
+            kept &= row.broken == 0;
+            out.printf(Locale.ROOT, "| %s | %d | %d | %.2f | %d | %d | %.2f | %.1f | %.1f | %.1f | %d | %.1f | %.1f | %.1f | %s |%n",
+                    way.words, row.moves, row.arrived, 1000.0 * row.stale / row.arrived, row.asked, row.undone,
+                    100.0 * row.late / row.asked, ms(row.before, 99), ms(row.during, 99), ms(row.moved, 99),
+                    row.untilLast.getTotalCount(), ms(row.untilLast, 50), ms(row.untilLast, 99),
+                    row.untilLast.getMaxValue() / 1e3, row.broken == 0 ? "kept" : row.broken + " broken");
+            out.flush();
+        }
+        return kept;
+    }
+
+    private static double ms(Histogram histogram, double percentile) {
+        return histogram.getValueAtPercentile(percentile) / 1e3;
+    }
+
+    private DaySettings day(Way way, long seed) {
+        DaySettings day = file.day(seed, TRANSIT);
+        DaySettings.MapDay map = day.map();
+        VolumeMap volume = map.begin().volumes().get(0);
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Integer> shards = day.nodes().stream().map(n -> n.shard()).toList();
+        List<DaySettings.Scripted> script = new ArrayList<>();
+        for (int i = 0; i < map.moves() && way != Way.NO_MOVES; i++) {
+            script.add(new DaySettings.Scripted(map.movesFrom() + map.movesFor() * i / map.moves(),
+                    new MapService.MoveOrder(volume.volume(), random.nextLong(volume.extents()),
+                            shards.get(random.nextInt(shards.size())))));
+        }
+        return day.withMap(new DaySettings.MapDay(map.settings(), map.begin(), 0, map.movesFrom(), map.movesFor(),
+                script)).withHeads(place -> following(day.head().apply(place), way != Way.ON_STALE), day.scheduler());
+    }
+
+    private static HeadSettings following(HeadSettings s, boolean follow) {
+        Links l = s.links();
+        return new HeadSettings(s.head(), s.incarnation(), s.listen(), s.list(), s.map(), s.scheduling(), s.volumes(),
+                s.margin(), s.bounds(), new Links(l.perNode(), l.streams(), l.idle(), l.connectTimeout(), l.listCall(),
+                        l.listSilence(), follow));
+    }
+
+    private static void add(Row row, DaySettings day, DayRunner.Result result) {
+        row.broken += result.verdicts().stream().filter(v -> !v.kept()).count() + (result.unverified() > 0 ? 1 : 0);
+        Map<Long, Integer> extentBytes = new HashMap<>();
+        day.map().begin().volumes().forEach(v -> extentBytes.put(v.volume(), v.extentBytes()));
+        long movedVolume = day.map().begin().volumes().get(0).volume();
+        long begin = result.events().stream().filter(e -> e.kind() == Kind.ASK).mapToLong(TraceEvent::time).min().orElse(0);
+        long from = begin + day.map().movesFrom();
+        long to = from + day.map().movesFor();
+        Map<Long, Long> asked = new HashMap<>();
+        Map<Spot, Long> switched = new HashMap<>();
+        Map<Spot, Long> last = new HashMap<>();
+        List<TraceEvent> events = new ArrayList<>(result.events());
+        events.sort(java.util.Comparator.comparingLong(TraceEvent::time));
+        for (TraceEvent e : events) {
+            switch (e.kind()) {
+                case ASK -> asked.put(e.tag(), e.time());
+                case REPLY -> reply(row, e, asked.getOrDefault(e.tag(), e.time()), movedVolume, begin, from, to);
+                case ARRIVE -> row.arrived++;
+                case STEP -> {
+                    if (e.op().equals("serve") && e.outcome().equals("ok")) {
+                        row.moves++;
+                        Spot spot = new Spot(e.volume(), e.key());
+                        note(row, last.remove(spot));
+                        switched.put(spot, e.time());
+                    }
+                }
+                case ANSWER -> {
+                    if (e.outcome().equals("stale")) {
+                        row.stale++;
+                        Spot spot = new Spot(e.volume(), e.offset() / extentBytes.get(e.volume()));
+                        long since = e.time() - switched.getOrDefault(spot, Long.MIN_VALUE / 2);
+                        if (since <= BELONGS) {
+                            last.put(spot, since);
+                        }
+                    }
+                }
+                default -> { }
+            }
+        }
+        last.values().forEach(micros -> note(row, micros));
+    }
+
+    private static void note(Row row, Long micros) {
+        if (micros != null) {
+            row.untilLast.recordValue(micros);
+        }
+    }
+
+    private static void reply(Row row, TraceEvent e, long askedAt, long movedVolume, long begin, long from, long to) {
+        if (e.time() > to) {
+            return;
+        }
+        row.asked++;
+        row.late += e.outcome().equals("late") ? 1 : 0;
+        boolean served = e.outcome().equals("served") || e.outcome().equals("late");
+        row.undone += served ? 0 : 1;
+        if (!served) {
+            return;
+        }
+        long took = Math.max(1, e.time() - askedAt);
+        if (askedAt >= from) {
+            (e.volume() == movedVolume ? row.moved : row.during).recordValue(took);
+        } else if (askedAt >= begin + (from - begin) / 3 && e.volume() != movedVolume) {
+            row.before.recordValue(took); // the first third is warming up
+        }
+    }
+}
--- a/cli/src/test/java/garnetreel/cli/LayoutTest.java
+++ b/cli/src/test/java/garnetreel/cli/LayoutTest.java
@@ -36,6 +36,14 @@
         }));
     }
 
+    /** A machine in service gets a jar without stand-ins, so what it runs must not need them. */
+    @Test
+    void serviceNeedsNoStandIn() {
+        noClasses().that().resideInAPackage("garnetreel.cli..").and().resideOutsideOfPackage("garnetreel.cli.trial..")
+                .should().dependOnClassesThat().resideInAnyPackage("garnetreel.standin..", "garnetreel.emulator..",
+                        "garnetreel.cli.trial..").check(classes);
+    }
+
     @Test
     void whatDecidesHasNoClockThreadOrInputOutput() {
         for (String module : List.of("policy", "codec", "map", "core", "mapd", "emulator")) {
--- a/cli/src/test/java/garnetreel/cli/config/SettingsTest.java
+++ b/cli/src/test/java/garnetreel/cli/config/SettingsTest.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.networknt.schema.JsonSchemaFactory;
 import com.networknt.schema.SpecVersion;
+import garnetreel.cli.trial.DayFile;
 import garnetreel.standin.trace.TraceEvent;
 import garnetreel.standin.trace.TraceFile;
 import java.nio.file.Files;
--- a/cli/src/test/java/garnetreel/cli/HardCasesTest.java
+++ b/cli/src/test/java/garnetreel/cli/trial/HardCasesTest.java
@@ -1,4 +1,4 @@
-package garnetreel.cli;
+package garnetreel.cli.trial;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/cli/src/test/java/garnetreel/cli/MovesTest.java
+++ b/cli/src/test/java/garnetreel/cli/trial/MovesTest.java
@@ -1,9 +1,8 @@
-package garnetreel.cli;
+package garnetreel.cli.trial;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import garnetreel.cli.config.DayFile;
 import garnetreel.emulator.World;
 import garnetreel.standin.day.DayRunner;
 import garnetreel.standin.rules.Verdict;
--- a/cli/src/test/java/garnetreel/cli/NbdSocket.java
+++ b/cli/src/test/java/garnetreel/cli/trial/NbdSocket.java
@@ -1,4 +1,4 @@
-package garnetreel.cli;
+package garnetreel.cli.trial;
 
 import garnetreel.codec.nbd.Nbd;
 import garnetreel.net.Addresses;
--- a/standin/src/main/java/garnetreel/standin/client/NbdReplies.java
+++ b/codec/src/main/java/garnetreel/codec/nbd/NbdReplies.java
@@ -1,32 +1,31 @@
-package garnetreel.standin.client;
+package garnetreel.codec.nbd;
 
 import garnetreel.codec.ByteQueue;
 import garnetreel.codec.ProtocolException;
-import garnetreel.codec.nbd.Nbd;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 /** The client's side of NBD: what it says in the handshake, and the replies it reads. */
-final class NbdReplies {
+public final class NbdReplies {
     private static final int CHUNK_MOST = 64 << 20;
 
     private enum State { GREETING, OPTIONS, TRANSMISSION }
 
     /** Something the server said. */
-    sealed interface Said { }
+    public sealed interface Said { }
 
     /** The handshake is over and requests may be sent. */
-    record Ready() implements Said { }
+    public record Ready() implements Said { }
 
     /** A reply, or one chunk of it. Data chunks and holes bring {@code offset}; a hole has no data. */
-    record Piece(long cookie, boolean done, int error, String message, long offset, byte[] data, int hole)
+    public record Piece(long cookie, boolean done, int error, String message, long offset, byte[] data, int hole)
             implements Said { }
 
     private State state = State.GREETING;
     private int acks;
 
     /** All the client says after the greeting: structured replies, and the export. */
-    static ByteBuffer opening(String export) {
+    public static ByteBuffer opening(String export) {
         byte[] name = export.getBytes(StandardCharsets.UTF_8);
         ByteBuffer out = ByteBuffer.allocate(4 + 16 + 16 + 4 + name.length + 2);
         out.putInt(Nbd.FIXED_NEWSTYLE | Nbd.NO_ZEROES);
@@ -37,7 +36,7 @@
     }
 
     /** A request's bytes. */
-    static ByteBuffer request(int type, int flags, long cookie, long offset, int length, byte[] data) {
+    public static ByteBuffer request(int type, int flags, long cookie, long offset, int length, byte[] data) {
         ByteBuffer out = ByteBuffer.allocate(28 + (data == null ? 0 : data.length));
         out.putInt(Nbd.REQUEST_MAGIC).putShort((short) flags).putShort((short) type).putLong(cookie).putLong(offset)
                 .putInt(length);
@@ -45,7 +44,7 @@
     }
 
     /** The next thing the server said, or null while it has not all come; data of READs are in data chunks only. */
-    Said next(ByteQueue in) throws ProtocolException {
+    public Said next(ByteQueue in) throws ProtocolException {
         return switch (state) {
             case GREETING -> {
                 if (in.size() < 18) {
--- a/core/src/main/java/garnetreel/core/Head.java
+++ b/core/src/main/java/garnetreel/core/Head.java
@@ -41,6 +41,13 @@
     /** The listener of NBD clients. */
     public static final String NBD = "nbd";
 
+    /** A head with clients takes a turn at least so often, so that a longer gap means that it was stopped. */
+    private static final long HEARTBEAT = 50_000;
+    /** A gap past this is no busy machine's late turn. */
+    private static final long STOPPED = 4 * HEARTBEAT;
+    /** Time after which sockets hold nothing any more that came while it was stopped. */
+    private static final long CATCH_UP = 100_000;
+
     /** Takes no new work, answers what was taken, then says Stopped. */
     public record Drain() implements NetEvent.Order { }
 
@@ -59,6 +66,8 @@
             Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
     private volatile Figures figures = new Figures(0, 0, 0, 0, 0, 0, 0, 0, 0);
     private long alarmCount;
+    private long stoppedAt;
+    private long caughtUpAt;
     private boolean begun;
     private boolean draining;
     private boolean stopped;
@@ -85,11 +94,21 @@
 
     @Override
     public void turn(long time, List<NetEvent> events, List<NetAction> actions) {
+        long before = now;
         now = Math.max(now, time);
+        // Guards against requests that waited in sockets while this process was stopped: their clients' time ran
+        // meanwhile, and counted from now it would end after the client has given up. What is read as it wakes counts as
+        // come when it was stopped. It could hurt what came just before it woke, which has that much less time.
+        if (begun && now - before > STOPPED && nbd.connections() > 0) {
+            stoppedAt = before;
+            caughtUpAt = now + CATCH_UP;
+            actions.add(new NetAction.Note(Level.WARN, "no turn for " + (now - before) / 1000
+                    + " ms: this process was stopped or starved; what waited in its sockets counts as come before"));
+        }
         nodes.at(now, actions);
         list.at(now, actions);
         map.at(now, actions);
-        desk.at(now);
+        desk.at(now, now < caughtUpAt ? stoppedAt : now);
         nbd.at(now, actions);
         if (!begun) {
             begun = true;
@@ -210,6 +229,7 @@
         }
         long next = Math.min(map.wakeAt(), Math.min(nodes.wakeAt(), list.wakeAt()));
         next = Math.min(next, Math.min(nbd.wakeAt(), desk.wakeAt()));
+        next = nbd.connections() > 0 ? Math.min(next, now + HEARTBEAT) : next;
         return alarms.isEmpty() ? next : Math.min(next, alarms.peek().at());
     }
 
--- a/core/src/main/java/garnetreel/core/desk/Desk.java
+++ b/core/src/main/java/garnetreel/core/desk/Desk.java
@@ -60,6 +60,7 @@
     private List<Event> events = new ArrayList<>();
     private long lastId;
     private long now;
+    private long came;
     private int operations;
     private long refusedAtTable;
     private long overdue;
@@ -73,9 +74,10 @@
         partBytes = (int) Math.max(1, settings.scheduling().mostUnits()) * bounds.unitBytes();
     }
 
-    /** Sets the time of this turn. */
-    public void at(long time) {
+    /** Sets the time of this turn, and the earliest time at which what is read in it may have come. */
+    public void at(long time, long cameFrom) {
         now = time;
+        came = cameFrom;
     }
 
     /** What the module is to be told, handed over; empty when nothing happened. */
@@ -117,7 +119,7 @@
         RequestClass kind = classes.get(op == Op.FLUSH ? volume.flushClass()
                 : op.changes() ? volume.writeClass() : volume.readClass());
         Operation operation = new Operation(volume, op, offset, length, data, sync, tag, caller, kind,
-                now + kind.deadline() - settings.margin());
+                came + kind.deadline() - settings.margin());
         if (operations >= bounds.headRequests()) {
             // The table's own bound: refused before it is taken, as nothing has been sent for it.
             refusedAtTable++;
@@ -126,6 +128,13 @@
                     "this head holds " + operations + " requests, its most"));
             return operation;
         }
+        if (now >= operation.validUntil) {
+            // It came while this head was stopped, and its client's time is up: nothing was sent for it.
+            operation.over = true;
+            caller.answered(Answer.refused(settings.scheduling().maxStayAway(), offset,
+                    "this head was stopped past the request's deadline"));
+            return operation;
+        }
         operations++;
         if (op == Op.FLUSH) {
             flush(operation);
--- a/standin/src/main/java/garnetreel/standin/day/DaySettings.java
+++ b/standin/src/main/java/garnetreel/standin/day/DaySettings.java
@@ -50,6 +50,12 @@
                 rules, map);
     }
 
+    /** The same day with another map service. */
+    public DaySettings withMap(MapDay other) {
+        return new DaySettings(name, seed, length, settle, heads, nodes, listLag, head, scheduler, loads, troubles,
+                rules, other);
+    }
+
     /** The same day with heads of another kind. */
     public DaySettings withHeads(Function<Place, HeadSettings> otherHead,
             BiFunction<Scheduler.Settings, Long, Scheduler> otherScheduler) {
