--- a/cli/src/main/java/garnetreel/cli/Main.java
+++ b/cli/src/main/java/garnetreel/cli/Main.java
@@ -42,6 +42,7 @@
         Main main = new Main();
         CommandLine line = new CommandLine(main);
         also.forEach(line::addSubcommand);
+        line.setCaseInsensitiveEnumValuesAllowed(true);
         line.setExecutionStrategy(parsed -> {
             Logging.configure(main.format, main.level);
             return new CommandLine.RunLast().execute(parsed);
--- /dev/null
+++ b/map/src/test/java/garnetreel/map/AdoptionTest.java
@@ -0,0 +1,120 @@
+package garnetreel.map;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.codec.map.MapMessage.Change;
+import garnetreel.codec.map.MapMessage.VolumeMap;
+import garnetreel.codec.map.MapMessage.Whole;
+import garnetreel.map.Adoption.Found;
+import garnetreel.map.Adoption.Held;
+import garnetreel.map.Adoption.State;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class AdoptionTest {
+    private static final Whole BEGIN = new Whole(1, 1, List.of(new VolumeMap(7, 20, 4096, List.of(0, 1), List.of())));
+
+    private static Found found(Held... held) {
+        return Adoption.of(new MapState(BEGIN), List.of(held));
+    }
+
+    private static Held held(int extent, int shard, State state, long version) {
+        return new Held(7, extent, shard, state, version);
+    }
+
+    @Test
+    void whoServesUnderTheNewestVersionIsTheHolder() {
+        Found found = found(held(4, 0, State.GONE, 9), held(4, 1, State.SERVING, 9));
+        assertEquals(List.of(new Change(7, 4, 1, 9)), found.changes());
+        assertEquals(9, found.most());
+        assertTrue(found.lost().isEmpty() && found.missing().isEmpty() && found.conflicts().isEmpty());
+    }
+
+    @Test
+    void whatTheMapSaysAlreadyIsNoChange() {
+        assertEquals(List.of(), found(held(4, 0, State.SERVING, 1), held(4, 1, State.GONE, 0)).changes());
+    }
+
+    @Test
+    void whereALostMoveFencedTheHolderItIsPutBack() {
+        Found found = found(held(4, 0, State.FENCED, 6), held(4, 1, State.RECEIVING, 0));
+        assertEquals(List.of(new Change(7, 4, 0, 6)), found.changes());
+        assertEquals(List.of(new Move(0, 7, 4, 0, 1, 6, 0, Move.State.ABORTING)), found.lost());
+    }
+
+    @Test
+    void whoStillWaitsForPagesIsToldToForget() {
+        Found found = found(held(4, 0, State.SERVING, 1), held(4, 1, State.RECEIVING, 0));
+        assertEquals(List.of(new Move(0, 7, 4, 0, 1, 1, 0, Move.State.ABORTING)), found.lost());
+    }
+
+    @Test
+    void whatOnlyASilentNodeHoldsIsMissingAndStaysAsTheMapSays() {
+        Found found = found(held(4, 0, State.GONE, 9), held(6, 1, State.SERVING, 3), held(6, 0, State.GONE, 5));
+        assertEquals(List.of(), found.changes());
+        assertEquals(List.of(held(4, 0, State.GONE, 9), held(6, 0, State.GONE, 5)), found.missing());
+    }
+
+    @Test
+    void twoHoldersAreAConflictThatIsTold() {
+        Found found = found(held(4, 0, State.SERVING, 3), held(4, 1, State.SERVING, 5));
+        assertEquals(List.of(new Change(7, 4, 1, 5)), found.changes());
+        assertEquals(List.of(held(4, 0, State.SERVING, 3)), found.conflicts());
+    }
+
+    @Test
+    void entriesOfOtherVolumesAndPastTheEndArePassedOver() {
+        assertEquals(0, found(new Held(8, 1, 0, State.SERVING, 5), held(20, 0, State.SERVING, 5)).most());
+    }
+
+    /**
+     * Every prefix of a journal as a backup, and the nodes as the whole of it left them: what is adopted is the whole's
+     * map, whichever part was lost. Moves are cut at every durable state.
+     */
+    @Test
+    void adoptingAfterAnyLossGivesTheMapThatWasLost() {
+        List<Transaction> journal = new ArrayList<>();
+        MapState whole = new MapState(BEGIN);
+        List<Held> nodes = new ArrayList<>();
+        for (int extent = 0; extent < 6; extent++) {
+            move(whole, journal, nodes, extent, 2 + extent % 2, extent % 4);
+        }
+        for (int kept = 0; kept <= journal.size(); kept++) {
+            MapState restored = new MapState(BEGIN);
+            journal.subList(0, kept).forEach(restored::apply);
+            Found found = Adoption.of(restored, nodes);
+            restored.apply(restored.adopt(found.changes(), whole.epoch(), found.most(), "test", 0, "adopted"));
+            assertEquals(places(whole), places(restored), "after the loss of all past " + kept);
+            assertTrue(restored.epoch() > whole.epoch() && restored.version() > whole.version());
+        }
+    }
+
+    /** A move that ends at a step: 0 copying, 1 fenced, 2 switched and served, 3 done; with what its nodes then hold. */
+    private static void move(MapState state, List<Transaction> journal, List<Held> nodes, int extent, int to, int ends) {
+        Move move = state.newMove(7, extent, to);
+        Move.State[] states = {Move.State.COPYING, Move.State.FENCING, Move.State.SWITCHED, Move.State.DONE};
+        for (int at = 0; at <= ends; at++) {
+            Transaction t = state.next(new Move(move.id(), 7, extent, move.from(), to, move.oldVersion(),
+                    move.newVersion(), states[at]), "test", at, "");
+            journal.add(t);
+            state.apply(t);
+            move = t.move();
+        }
+        nodes.add(held(extent, move.from(), ends == 0 ? State.SERVING : ends == 3 ? State.GONE : State.FENCED,
+                ends == 3 ? move.newVersion() : move.oldVersion()));
+        nodes.add(held(extent, to, ends < 2 ? State.RECEIVING : State.SERVING, ends < 2 ? 0 : move.newVersion()));
+    }
+
+    private static List<String> places(MapState state) {
+        List<String> places = new ArrayList<>();
+        ExtentMap map = state.map(7);
+        for (long extent = 0; extent < map.extents(); extent++) {
+            places.add(extent + "@" + map.shard(extent) + "/" + map.version(extent));
+        }
+        places.sort(Comparator.naturalOrder());
+        return places;
+    }
+}
--- a/map/src/test/java/garnetreel/map/RebalancerTest.java
+++ b/map/src/test/java/garnetreel/map/RebalancerTest.java
@@ -60,4 +60,30 @@
         assertTrue(new Rebalancer(BOUNDS).wishes(0, shards, extents, List.of(new Move(1, 1, 0, 0, 3, 1, 0,
                 Move.State.COPYING))).isEmpty());
     }
+
+    @Test
+    void ageingNodeIsAsFullAsItSaysAndGivesAway() {
+        // By its nameplate shard 0 is idle; it says that the little it does takes nearly all it has.
+        List<Shard> shards = List.of(new Shard(0, 30, 100, 0.9, FREE, false, false, true), shard(1, 30), shard(2, 30));
+        List<Extent> extents = List.of(new Extent(1, 1, 0, 8, 4096), new Extent(1, 2, 1, 8, 4096));
+        List<Wish> wishes = new Rebalancer(BOUNDS).wishes(0, shards, extents, List.of());
+        assertEquals(1, wishes.size());
+        assertEquals(1, wishes.get(0).extent());
+        // And is given nothing, also of a shard that drains where another has room.
+        List<Shard> draining = List.of(shards.get(0), shard(1, 30), new Shard(2, 5, 100, 0.05, FREE, true, false, true));
+        assertEquals(1, new Rebalancer(BOUNDS).wishes(0, draining, List.of(new Extent(1, 3, 2, 1, 4096)), List.of())
+                .get(0).to());
+    }
+
+    @Test
+    void nodesWithoutRoomAreGivenNothingEvenByADrain() {
+        Bounds spare = new Bounds(4, 4, 0.2, 0, 0.8, 10_000);
+        List<Shard> shards = List.of(new Shard(0, 10, 100, 0.1, FREE, true, false, true),
+                new Shard(1, 0, 100, 0, 14_000, false, false, true), new Shard(2, 50, 100, 0.5, 19_000, false, false, true));
+        List<Extent> extents = List.of(new Extent(1, 1, 0, 1, 4096), new Extent(1, 2, 0, 1, 4096),
+                new Extent(1, 3, 0, 1, 4096));
+        List<Wish> wishes = new Rebalancer(spare).wishes(0, shards, extents, List.of());
+        assertEquals(2, wishes.size(), "14,000 free less 10,000 spare is no room; 19,000 is room for two");
+        assertTrue(wishes.stream().allMatch(w -> w.to() == 2));
+    }
 }
--- a/mapd/src/main/java/garnetreel/mapd/MapService.java
+++ b/mapd/src/main/java/garnetreel/mapd/MapService.java
@@ -227,6 +227,10 @@
             if (!done.changes().isEmpty() || state.epoch() != before) {
                 tellChanges(before);
             }
+            if (done.drain() != null && done.drain().on()) {
+                moves.values().stream().filter(r -> r.machine.move().to() == done.drain().shard())
+                        .forEach(r -> r.machine.abort("its new shard drains"));
+            }
             writingDurable.accept(done);
             keepSnapshot();
         }
--- a/store/src/test/java/garnetreel/store/JournalTest.java
+++ b/store/src/test/java/garnetreel/store/JournalTest.java
@@ -58,4 +58,47 @@
         }
         assertTrue(opened > 0);
     }
+
+    @Test
+    void snapshotReplacesTheRecordsItCoversInOneStep() throws IOException {
+        Path file = temp.resolve("journal");
+        write(file, 30);
+        try (Journal journal = new Journal(file)) {
+            journal.snapshot(25, new byte[] {25}, 10);
+            assertThrows(IllegalArgumentException.class, () -> journal.snapshot(31, new byte[0], 10));
+            journal.append(31, new byte[] {31});
+        }
+        byte[] whole = Files.readAllBytes(file);
+        for (int cut = whole.length; cut > 4096; cut -= 509) {
+            Path torn = temp.resolve("cut-" + cut);
+            Files.write(torn, Arrays.copyOf(whole, cut));
+            try (Journal journal = new Journal(torn)) {
+                Journal.Kept kept = journal.kept();
+                if (kept.records().isEmpty()) {
+                    assertEquals(null, kept.snapshot(), "a snapshot without what followed it, cut at " + cut);
+                    continue;
+                }
+                // Without the snapshot the records begin with the first; with it they reach back to what it keeps.
+                assertEquals(kept.snapshot() == null ? 1 : 16, kept.records().get(0)[0], "cut at " + cut);
+                assertTrue(kept.snapshot() == null || kept.records().size() >= 15);
+            } catch (IOException refused) {
+                assertTrue(refused.getMessage().contains("can't be opened"));
+            }
+        }
+    }
+
+    @Test
+    void snapshotsKeepTheFileSmall() throws IOException {
+        Path file = temp.resolve("journal");
+        try (Journal journal = new Journal(file)) {
+            for (int i = 1; i <= 600; i++) {
+                journal.append(i, new byte[2_000]);
+                if (i % 50 == 0) {
+                    journal.snapshot(i, new byte[10_000], 20);
+                }
+            }
+            assertEquals(20, journal.kept().records().size());
+        }
+        assertTrue(Files.size(file) < 600 * 2_000 / 2, Files.size(file) + " bytes");
+    }
 }
