--- a/cli/src/main/java/garnetreel/cli/Process.java
+++ b/cli/src/main/java/garnetreel/cli/Process.java
@@ -2,6 +2,7 @@
 
 import garnetreel.core.Head;
 import garnetreel.core.HeadSettings;
+import garnetreel.core.front.rsync.FileKeeper;
 import garnetreel.core.io.Machine;
 import garnetreel.core.link.ListLink;
 import garnetreel.core.link.MapLink;
@@ -9,6 +10,7 @@
 import garnetreel.net.Clock;
 import garnetreel.net.Driver;
 import garnetreel.policy.Control;
+import garnetreel.store.Journal;
 import garnetreel.store.StateDirectory;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -21,6 +23,8 @@
 /** What runs in this process: one clock, and the machines on it. */
 public final class Process implements AutoCloseable {
     private static final int BIND_SECONDS = 10;
+    /** The catalogue of a head's files, in its state directory. */
+    public static final String FILES = "files.journal";
 
     public final Clock clock = Clock.system();
     private final Deque<AutoCloseable> running = new ArrayDeque<>();
@@ -40,16 +44,24 @@
     public Driver head(HeadSettings settings, Path state) throws IOException {
         byte[] remembered = null;
         byte[] rememberedMap = null;
+        FileKeeper.Kept files = FileKeeper.Kept.NOTHING;
         Driver.Keeper keeper = (name, data) -> { };
         if (state != null) {
             StateDirectory directory = new StateDirectory(state);
             remembered = directory.read(ListLink.REMEMBERED).orElse(null);
             rememberedMap = directory.read(MapLink.REMEMBERED).orElse(null);
-            BackgroundKeeper background = new BackgroundKeeper(directory);
+            Journal journal = null;
+            if (!settings.files().modules().isEmpty()) {
+                journal = new Journal(state.resolve(FILES));
+                Journal.Kept kept = journal.kept();
+                files = new FileKeeper.Kept(kept.snapshot(), kept.records());
+            }
+            BackgroundKeeper background = new BackgroundKeeper(directory, journal);
             running.push(background);
             keeper = background;
         }
-        Head head = new Head(settings, new Control(settings.scheduling(), settings.incarnation()), remembered, rememberedMap);
+        Head head = new Head(settings, new Control(settings.scheduling(), settings.incarnation()), remembered,
+                rememberedMap, files);
         return run("head-" + settings.head(), head, keeper);
     }
 
--- a/cli/src/main/java/garnetreel/cli/ServeCommand.java
+++ b/cli/src/main/java/garnetreel/cli/ServeCommand.java
@@ -45,9 +45,12 @@
         Driver driver = process.head(told, state.isEmpty() ? null : Path.of(state));
         String address = Process.bound(driver, Head.NBD);
         process.drainAtEnd(driver, settings.longestDeadline());
-        for (Volume volume : told.volumes()) {
+        for (Volume volume : told.exports()) {
             spec.commandLine().getOut().println("ready nbd://" + address + "/" + volume.name());
         }
+        for (HeadSettings.Module module : told.files().modules()) {
+            spec.commandLine().getOut().println("ready rsync://" + Process.bound(driver, Head.RSYNC) + "/" + module.name());
+        }
         spec.commandLine().getOut().flush();
         return Process.untilStopped(driver);
     }
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/config/Secrets.java
@@ -0,0 +1,44 @@
+package garnetreel.cli.config;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermission;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Users and passwords of a module: a line a user, {@code name:password}, in a file that nobody else may read. */
+final class Secrets {
+    private static final Set<PosixFilePermission> OWNERS = Set.of(PosixFilePermission.OWNER_READ,
+            PosixFilePermission.OWNER_WRITE, PosixFilePermission.OWNER_EXECUTE);
+
+    private Secrets() { }
+
+    static Map<String, String> read(Path file) throws IOException {
+        if (!Files.isRegularFile(file)) {
+            throw new IOException("names " + file + ", and there is no such file");
+        }
+        if (!OWNERS.containsAll(Files.getPosixFilePermissions(file))) {
+            throw new IOException("names " + file + ", which others than its owner may read or write; chmod 600 it");
+        }
+        Map<String, String> users = new TreeMap<>();
+        int number = 0;
+        for (String line : Files.readAllLines(file, StandardCharsets.UTF_8)) {
+            number++;
+            if (line.isBlank() || line.startsWith("#")) {
+                continue;
+            }
+            int colon = line.indexOf(':');
+            if (colon < 1 || colon == line.length() - 1) {
+                throw new IOException("names " + file + ", whose line " + number + " is not name:password");
+            }
+            users.put(line.substring(0, colon), line.substring(colon + 1));
+        }
+        if (users.isEmpty()) {
+            throw new IOException("names " + file + ", which holds no user");
+        }
+        return users;
+    }
+}
--- a/cli/src/main/java/garnetreel/cli/config/Settings.java
+++ b/cli/src/main/java/garnetreel/cli/config/Settings.java
@@ -6,7 +6,9 @@
 import garnetreel.codec.map.MapMessage.Whole;
 import garnetreel.core.HeadSettings;
 import garnetreel.core.HeadSettings.Bounds;
+import garnetreel.core.HeadSettings.Files;
 import garnetreel.core.HeadSettings.Links;
+import garnetreel.core.HeadSettings.Module;
 import garnetreel.core.Layout;
 import garnetreel.core.Volume;
 import garnetreel.map.Rebalancer;
@@ -19,6 +21,7 @@
 import garnetreel.policy.Scheduler.Rules;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -42,6 +45,7 @@
     private final Map<String, Plan> plans = new LinkedHashMap<>();
     private final Map<String, Volume> volumes = new LinkedHashMap<>();
     private final Map<Integer, String> listens = new TreeMap<>();
+    private final Map<String, Module> modules = new LinkedHashMap<>();
     private final Rules rules;
     private final Bounds bounds;
     private final Links links;
@@ -87,6 +91,7 @@
         each("class", (name, path) -> classes.put(name, requestClass(name, path)));
         each("plan", (name, path) -> plans.put(name, plan(name, path)));
         each("volume", (name, path) -> volumes.put(name, volume(name, path)));
+        each("module_of_files", (name, path) -> modules.put(name, module(name, path)));
         each("head", (name, path) -> {
             int number = Integer.parseInt(name);
             check(number < heads, path, "has number " + number + ", and the service has " + heads + " heads");
@@ -273,10 +278,50 @@
     /** What a head is told. */
     public HeadSettings head(int number, long incarnation, String listen, String list, String map) {
         return new HeadSettings(number, incarnation, listen, list, map, scheduling(number),
-                volumes.values().stream().filter(v -> exported(v.name(), number)).toList(), margin, bounds, links);
+                volumes.values().stream().filter(v -> exported(v.name(), number)).toList(), margin, bounds, links,
+                files(number));
+    }
+
+    /** Modules of a head. A module has one head, which alone knows its files; its volume is exported by none. */
+    private Files files(int number) {
+        List<Module> own = new ArrayList<>();
+        modules.forEach((name, module) -> {
+            if (moduleHead(name) == number) {
+                own.add(module);
+            }
+        });
+        byte[] secret = new byte[32];
+        new SecureRandom().nextBytes(secret);
+        return own.isEmpty() ? Files.NONE : new Files(text("/head/" + number + "/rsync", "127.0.0.1:0"), own, secret);
+    }
+
+    private int moduleHead(String name) {
+        return (int) number("/module_of_files/" + escaped(name) + "/head", 0);
+    }
+
+    private Module module(String name, String path) {
+        String volume = text(path + "/volume", "");
+        check(volumes.containsKey(volume), path + "/volume", "names \"" + volume + "\", and there is no such volume");
+        modules.values().forEach(m -> check(!m.volume().equals(volume), path + "/volume", "names \"" + volume
+                + "\", which module " + m.name() + " has"));
+        check(moduleHead(name) < heads, path + "/head", "is " + moduleHead(name) + ", and there are " + heads + " heads");
+        Map<String, String> users = new TreeMap<>();
+        if (has(path + "/secrets")) {
+            try {
+                users = Secrets.read(Path.of(text(path + "/secrets", "")));
+            } catch (IOException e) {
+                check(false, path + "/secrets", e.getMessage());
+            }
+        }
+        return new Module(name, text(path + "/comment", ""), volume, flag(path + "/read_only", false), users);
     }
 
     private boolean exported(String volume, int head) {
+        for (Module module : modules.values()) {
+            if (module.volume().equals(volume)) {
+                return moduleHead(module.name()) == head;
+            }
+        }
         JsonNode only = root.at("/volume/" + escaped(volume) + "/heads");
         for (JsonNode one : only) {
             if (one.asInt() == head) {
--- a/cli/src/main/java/garnetreel/cli/trial/DevCommand.java
+++ b/cli/src/main/java/garnetreel/cli/trial/DevCommand.java
@@ -23,6 +23,8 @@
         description = "Serves a head with stand-in nodes and list in this process; data is lost at its end.")
 final class DevCommand implements Callable<Integer> {
     private static final int NODES = 4;
+    /** The module that takes pushes, and its volume. */
+    private static final Map<String, String> FILES = Map.of("pages", "1GiB");
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
     private static final Pattern SIZE = Pattern.compile("[0-9]{1,9}(B|KiB|MiB|GiB)");
 
@@ -33,6 +35,10 @@
             description = "Where NBD clients connect; port 0 takes a free one. Default: ${DEFAULT-VALUE}.")
     String listen;
 
+    @Option(names = "--rsync-listen", paramLabel = "HOST:PORT", defaultValue = "127.0.0.1:0",
+            description = "Where rsync clients connect; port 0 takes a free one. Default: ${DEFAULT-VALUE}.")
+    String rsyncListen;
+
     @Option(names = "--export", paramLabel = "NAME=SIZE",
             description = "An export and its size, such as births=64MiB; may be given again. "
                     + "Default: births and marriages of 64MiB each.")
@@ -42,13 +48,20 @@
     public Integer call() throws IOException, SettingsException {
         check();
         Process process = new Process();
-        LocalService service = LocalService.start(process, NODES, exports);
+        LocalService service = LocalService.start(process, NODES, exports, FILES);
         HeadSettings head = service.head(listen);
+        head = head.withFiles(new HeadSettings.Files(rsyncListen, head.files().modules(), head.files().secret()));
         Driver driver = process.head(head, null);
         String address = Process.bound(driver, Head.NBD);
         process.drainAtEnd(driver, service.longestDeadline());
         for (Volume volume : head.volumes()) {
-            spec.commandLine().getOut().println("ready nbd://" + address + "/" + volume.name());
+            if (exports.containsKey(volume.name())) {
+                spec.commandLine().getOut().println("ready nbd://" + address + "/" + volume.name());
+            }
+        }
+        String rsync = Process.bound(driver, Head.RSYNC);
+        for (HeadSettings.Module module : head.files().modules()) {
+            spec.commandLine().getOut().println("ready rsync://" + rsync + "/" + module.name());
         }
         spec.commandLine().getOut().flush();
         return Process.untilStopped(driver);
@@ -57,8 +70,10 @@
     private void check() {
         try {
             Addresses.parse(listen);
+            Addresses.parse(rsyncListen);
         } catch (IllegalArgumentException e) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "--listen: " + e.getMessage());
+            throw new CommandLine.ParameterException(spec.commandLine(), "--listen or --rsync-listen: "
+                    + e.getMessage());
         }
         if (exports.isEmpty()) {
             exports.put("births", "64MiB");
--- a/cli/src/main/java/garnetreel/cli/trial/LocalService.java
+++ b/cli/src/main/java/garnetreel/cli/trial/LocalService.java
@@ -19,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -40,6 +41,12 @@
      */
     static LocalService start(Process process, int nodes, Map<String, String> exports)
             throws IOException, SettingsException {
+        return start(process, nodes, exports, Map.of());
+    }
+
+    /** @param modules names and sizes of modules of files, each on a volume of its own */
+    static LocalService start(Process process, int nodes, Map<String, String> exports, Map<String, String> modules)
+            throws IOException, SettingsException {
         List<Entry> entries = new ArrayList<>();
         for (int shard = 0; shard < nodes; shard++) {
             NodeSettings node = NodeSettings.free("node-" + shard, "127.0.0.1:0", "", shard);
@@ -47,7 +54,8 @@
             entries.add(new Entry(Process.bound(driver, "node"), node.zone(), shard, State.UP, 1, 0));
         }
         Driver list = process.run("list", new ListMachine("list", "127.0.0.1:0", entries, 0, Trace.NONE));
-        Settings settings = Settings.of(HclFile.parse("dev.hcl", embedded() + volumes(nodes, exports)));
+        Settings settings = Settings.of(HclFile.parse("dev.hcl", embedded() + volumes(nodes, exports, 0)
+                + volumes(nodes, files(modules), exports.size()) + modules(modules)));
         return new LocalService(process, settings, Process.bound(list, "list"));
     }
 
@@ -66,10 +74,24 @@
         }
     }
 
-    private static String volumes(int nodes, Map<String, String> exports) {
+    private static Map<String, String> files(Map<String, String> modules) {
+        Map<String, String> volumes = new TreeMap<>();
+        modules.forEach((name, size) -> volumes.put(name + ".files", size));
+        return volumes;
+    }
+
+    private static String modules(Map<String, String> modules) {
+        StringBuilder text = new StringBuilder();
+        new TreeMap<>(modules).keySet().forEach(name -> text.append("module_of_files \"").append(name)
+                .append("\" {\n  comment = \"scanned pages, held in memory\"\n  volume = \"").append(name)
+                .append(".files\"\n}\n"));
+        return text.toString();
+    }
+
+    private static String volumes(int nodes, Map<String, String> exports, int before) {
         String shards = IntStream.range(0, nodes).mapToObj(Integer::toString).collect(Collectors.joining(", "));
         StringBuilder text = new StringBuilder();
-        int id = 0;
+        int id = before;
         for (Map.Entry<String, String> export : exports.entrySet()) {
             text.append("volume \"").append(export.getKey()).append("\" {\n  id = ").append(++id)
                     .append("\n  size = \"").append(export.getValue()).append("\"\n  plan = \"open\"\n")
--- a/cli/src/main/java/garnetreel/cli/trial/bench/MemoryHead.java
+++ b/cli/src/main/java/garnetreel/cli/trial/bench/MemoryHead.java
@@ -6,6 +6,7 @@
 import garnetreel.core.Volume;
 import garnetreel.core.desk.Backend;
 import garnetreel.core.front.NbdFront;
+import garnetreel.core.front.Room;
 import garnetreel.core.io.Machine;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetEvent;
@@ -19,6 +20,7 @@
     private static final Ticket TICKET = new Ticket() { };
 
     private final HeadSettings settings;
+    private final Room room;
     private final NbdFront front;
     private final Map<Long, byte[]> volumes = new HashMap<>();
     private boolean begun;
@@ -26,7 +28,8 @@
 
     MemoryHead(HeadSettings settings) {
         this.settings = settings;
-        this.front = new NbdFront(settings, this);
+        this.room = new Room(settings.bounds().headBytes());
+        this.front = new NbdFront(settings, this, room);
         settings.volumes().forEach(v -> volumes.put(v.id(), new byte[(int) v.size()]));
     }
 
@@ -50,7 +53,7 @@
             }
         }
         front.expire();
-        front.pump();
+        room.pump();
     }
 
     @Override
--- a/cli/src/main/java/garnetreel/cli/trial/lab/MovesLab.java
+++ b/cli/src/main/java/garnetreel/cli/trial/lab/MovesLab.java
@@ -120,7 +120,7 @@
         Links l = s.links();
         return new HeadSettings(s.head(), s.incarnation(), s.listen(), s.list(), s.map(), s.scheduling(), s.volumes(),
                 s.margin(), s.bounds(), new Links(l.perNode(), l.streams(), l.idle(), l.connectTimeout(), l.listCall(),
-                        l.listSilence(), follow));
+                        l.listSilence(), follow), s.files());
     }
 
     private static void add(Row row, DaySettings day, DayRunner.Result result) {
--- a/cli/src/test/java/garnetreel/cli/trial/WrongHeadsTest.java
+++ b/cli/src/test/java/garnetreel/cli/trial/WrongHeadsTest.java
@@ -117,7 +117,7 @@
         Function<DaySettings.Place, HeadSettings> late = place -> {
             HeadSettings s = day.head().apply(place);
             return new HeadSettings(s.head(), s.incarnation(), s.listen(), s.list(), s.map(), s.scheduling(), s.volumes(),
-                    -500_000, s.bounds(), s.links());
+                    -500_000, s.bounds(), s.links(), s.files());
         };
         assertEquals(List.of(1), broken(day.withHeads(late, day.scheduler())));
     }
--- a/core/src/main/java/garnetreel/core/Head.java
+++ b/core/src/main/java/garnetreel/core/Head.java
@@ -3,6 +3,9 @@
 import garnetreel.codec.node.NodeMessage;
 import garnetreel.core.desk.Desk;
 import garnetreel.core.front.NbdFront;
+import garnetreel.core.front.Room;
+import garnetreel.core.front.rsync.FileKeeper;
+import garnetreel.core.front.rsync.RsyncFront;
 import garnetreel.core.io.Machine;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetAction.Level;
@@ -40,6 +43,8 @@
 public final class Head implements Machine, NodeLinks.Listener {
     /** The listener of NBD clients. */
     public static final String NBD = "nbd";
+    /** The listener of rsync clients. */
+    public static final String RSYNC = "rsync";
 
     /** A head with clients takes a turn at least so often, so that a longer gap means that it was stopped. */
     private static final long HEARTBEAT = 50_000;
@@ -62,6 +67,9 @@
     private final byte[] rememberedMap;
     private final Desk desk;
     private final NbdFront nbd;
+    private final RsyncFront rsync;
+    private final Room room;
+    private final FileKeeper files;
     private final PriorityQueue<Due> alarms = new PriorityQueue<>(
             Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
     private volatile Figures figures = new Figures(0, 0, 0, 0, 0, 0, 0, 0, 0);
@@ -79,6 +87,12 @@
      * @param rememberedMap the same under {@link MapLink#REMEMBERED}
      */
     public Head(HeadSettings settings, Scheduler scheduler, byte[] rememberedList, byte[] rememberedMap) {
+        this(settings, scheduler, rememberedList, rememberedMap, FileKeeper.Kept.NOTHING);
+    }
+
+    /** @param kept what {@link NetAction.Append} and {@link NetAction.Snapshot} kept of the file catalogue */
+    public Head(HeadSettings settings, Scheduler scheduler, byte[] rememberedList, byte[] rememberedMap,
+            FileKeeper.Kept kept) {
         this.settings = settings;
         this.scheduler = scheduler;
         this.rememberedList = rememberedList;
@@ -88,7 +102,10 @@
         this.rememberedMap = rememberedMap;
         desk = new Desk(settings, nodes, map);
         list = new ListLink(settings, numbers, desk::tell);
-        nbd = new NbdFront(settings, desk);
+        room = new Room(settings.bounds().headBytes());
+        nbd = new NbdFront(settings, desk, room);
+        files = new FileKeeper(settings, kept);
+        rsync = new RsyncFront(settings, desk, room, files);
         nodes.listener(this);
     }
 
@@ -99,7 +116,7 @@
         // Guards against requests that waited in sockets while this process was stopped: their clients' time ran
         // meanwhile, and counted from now it would end after the client has given up. What is read as it wakes counts as
         // come when it was stopped. It could hurt what came just before it woke, which has that much less time.
-        if (begun && now - before > STOPPED && nbd.connections() > 0) {
+        if (begun && now - before > STOPPED && nbd.connections() + rsync.connections() > 0) {
             stoppedAt = before;
             caughtUpAt = now + CATCH_UP;
             actions.add(new NetAction.Note(Level.WARN, "no turn for " + (now - before) / 1000
@@ -110,11 +127,16 @@
         map.at(now, actions);
         desk.at(now, now < caughtUpAt ? stoppedAt : now);
         nbd.at(now, actions);
+        files.at(now, actions);
+        rsync.at(now, actions);
         if (!begun) {
             begun = true;
             list.remembered(rememberedList);
             map.begin(rememberedMap);
             actions.add(new NetAction.Listen(NBD, settings.listen()));
+            if (!settings.files().listen().isEmpty()) {
+                actions.add(new NetAction.Listen(RSYNC, settings.files().listen()));
+            }
         }
         for (NetEvent event : events) {
             take(event, actions);
@@ -124,13 +146,15 @@
         map.expire();
         nbd.expire();
         desk.expire();
+        rsync.expire();
+        files.expire();
         decide(actions);
-        nbd.pump();
-        if (draining && !stopped && nbd.connections() == 0 && desk.operations() == 0) {
+        room.pump();
+        if (draining && !stopped && nbd.connections() == 0 && rsync.connections() == 0 && desk.operations() == 0) {
             stopped = true;
             actions.add(new NetAction.Stopped());
         }
-        figures = new Figures(nbd.connections(), desk.operations(), nbd.bytesHeld(), nodes.connections(),
+        figures = new Figures(nbd.connections() + rsync.connections(), desk.operations(), room.held(), nodes.connections(),
                 nodes.lateAnswers(), desk.refusedAtTable(), desk.overdue(), desk.rerouted(), map.version());
     }
 
@@ -138,6 +162,8 @@
         if (event instanceof NetEvent.Received got) {
             if (nbd.owns(got.conn())) {
                 nbd.received(got.conn(), got.data());
+            } else if (rsync.owns(got.conn())) {
+                rsync.received(got.conn(), got.data());
             } else if (nodes.owns(got.conn())) {
                 nodes.received(got.conn(), got.data());
             } else if (list.owns(got.conn())) {
@@ -148,9 +174,15 @@
         } else if (event instanceof NetEvent.Drained drained) {
             if (nbd.owns(drained.conn())) {
                 nbd.drained(drained.conn(), drained.bytes());
+            } else if (rsync.owns(drained.conn())) {
+                rsync.drained(drained.conn(), drained.bytes());
             }
         } else if (event instanceof NetEvent.Accepted accepted) {
-            nbd.accepted(accepted.conn(), accepted.peer());
+            if (accepted.listener().equals(RSYNC)) {
+                rsync.accepted(accepted.conn(), accepted.peer());
+            } else {
+                nbd.accepted(accepted.conn(), accepted.peer());
+            }
         } else if (event instanceof NetEvent.Connected connected) {
             if (nodes.owns(connected.conn())) {
                 nodes.connected(connected.conn());
@@ -162,6 +194,8 @@
         } else if (event instanceof NetEvent.Closed closed) {
             if (nbd.owns(closed.conn())) {
                 nbd.closed(closed.conn());
+            } else if (rsync.owns(closed.conn())) {
+                rsync.closed(closed.conn());
             } else if (nodes.owns(closed.conn())) {
                 nodes.closed(closed.conn(), closed.opened());
             } else if (list.owns(closed.conn())) {
@@ -170,12 +204,19 @@
                 map.closed();
             }
         } else if (event instanceof NetEvent.ListenFailed failed) {
-            actions.add(new NetAction.Note(Level.WARN, "can't listen on " + settings.listen() + ": "
+            actions.add(new NetAction.Note(Level.WARN, "can't listen for " + failed.listener() + " on "
+                    + (failed.listener().equals(RSYNC) ? settings.files().listen() : settings.listen()) + ": "
                     + failed.why()));
+        } else if (event instanceof NetEvent.Appended appended) {
+            files.appended(appended.seq());
         } else if (event instanceof NetEvent.Told told && told.order() instanceof Drain && !draining) {
             draining = true;
             actions.add(new NetAction.Unlisten(NBD));
+            if (!settings.files().listen().isEmpty()) {
+                actions.add(new NetAction.Unlisten(RSYNC));
+            }
             nbd.drain();
+            rsync.drain();
         }
     }
 
@@ -229,7 +270,8 @@
         }
         long next = Math.min(map.wakeAt(), Math.min(nodes.wakeAt(), list.wakeAt()));
         next = Math.min(next, Math.min(nbd.wakeAt(), desk.wakeAt()));
-        next = nbd.connections() > 0 ? Math.min(next, now + HEARTBEAT) : next;
+        next = Math.min(next, Math.min(rsync.wakeAt(), files.wakeAt()));
+        next = nbd.connections() + rsync.connections() > 0 ? Math.min(next, now + HEARTBEAT) : next;
         return alarms.isEmpty() ? next : Math.min(next, alarms.peek().at());
     }
 
--- a/core/src/main/java/garnetreel/core/HeadSettings.java
+++ b/core/src/main/java/garnetreel/core/HeadSettings.java
@@ -2,6 +2,7 @@
 
 import garnetreel.policy.Scheduler;
 import java.util.List;
+import java.util.Map;
 
 /**
  * What a head is told when it starts.
@@ -13,10 +14,40 @@
  * @param map where the map service is; empty where volumes stay under their first rule
  * @param scheduling what the module is told
  * @param volumes what is exported
+ * @param files what is served by rsync
  * @param margin how long before the class's deadline the last word is said, for the way back to the client
  */
 public record HeadSettings(int head, long incarnation, String listen, String list, String map,
-        Scheduler.Settings scheduling, List<Volume> volumes, long margin, Bounds bounds, Links links) {
+        Scheduler.Settings scheduling, List<Volume> volumes, long margin, Bounds bounds, Links links, Files files) {
+
+    /** Volumes that are exported by NBD: one that holds a module's files is not, as a block client would write over them. */
+    public List<Volume> exports() {
+        return volumes.stream().filter(v -> files.modules().stream().noneMatch(m -> m.volume().equals(v.name()))).toList();
+    }
+
+    /** The same head with its rsync listener elsewhere. */
+    public HeadSettings withFiles(Files other) {
+        return new HeadSettings(head, incarnation, listen, list, map, scheduling, volumes, margin, bounds, links, other);
+    }
+
+    /**
+     * Modules of files that are served by rsync.
+     *
+     * @param listen where rsync clients connect; empty for not at all
+     * @param secret bytes nobody else knows, from which challenges are made
+     */
+    public record Files(String listen, List<Module> modules, byte[] secret) {
+        /** No files are served. */
+        public static final Files NONE = new Files("", List.of(), new byte[0]);
+    }
+
+    /**
+     * A module.
+     *
+     * @param volume the volume that holds its files and nothing else
+     * @param users passwords by name; empty where everybody may come in
+     */
+    public record Module(String name, String comment, String volume, boolean readOnly, Map<String, String> users) { }
 
     /**
      * Bounds of what a head holds; what happens at each is in docs/gateway.md.
--- a/core/src/main/java/garnetreel/core/front/NbdSession.java
+++ b/core/src/main/java/garnetreel/core/front/NbdSession.java
@@ -19,7 +19,7 @@
  * One NBD connection, from the greeting to its end. Reads the specification's way: an option or request that is wrong
  * in itself gets an error and the connection goes on; a stream that can't be followed any more is closed.
  */
-final class NbdSession implements Room.Waiter {
+final class NbdSession implements Front.Session {
     /** More options than a client that asks about every export would send; then the connection is closed. */
     private static final int OPTIONS_MOST = 2048;
     /** What a request without payload counts for against the bytes bound. */
@@ -27,9 +27,9 @@
 
     private enum Phase { HANDSHAKE, REQUEST, PAYLOAD, CLOSING, ENDED }
 
-    final long conn;
-    final boolean turnedAway;
-    final long handshakeUntil;
+    private final long conn;
+    private final boolean turnedAway;
+    private final long handshakeUntil;
     private final NbdFront front;
     private final HeadSettings.Bounds bounds;
     private final ByteQueue in = new ByteQueue();
@@ -51,25 +51,43 @@
 
     NbdSession(NbdFront front, long conn, boolean turnedAway, long handshakeUntil) {
         this.front = front;
-        this.bounds = front.settings.bounds();
+        this.bounds = front.settings().bounds();
         this.conn = conn;
         this.turnedAway = turnedAway;
         this.handshakeUntil = handshakeUntil;
         this.options = new OptionHandler(front, this);
     }
 
-    void greet() {
+    @Override
+    public long conn() {
+        return conn;
+    }
+
+    @Override
+    public boolean turnedAway() {
+        return turnedAway;
+    }
+
+    @Override
+    public long handshakeUntil() {
+        return handshakeUntil;
+    }
+
+    @Override
+    public void greet() {
         write(NbdWriter.greeting());
     }
 
-    void received(ByteBuffer data) {
+    @Override
+    public void received(ByteBuffer data) {
         in.add(data);
         pump();
     }
 
-    void drained(int bytes) {
+    @Override
+    public void drained(int bytes) {
         outbound -= bytes;
-        front.room.give(bytes);
+        front.room().give(bytes);
         pump();
     }
 
@@ -79,20 +97,22 @@
     }
 
     /** The peer is gone: nothing is owed any more. */
-    void gone() {
+    @Override
+    public void gone() {
         phase = Phase.ENDED;
         for (NbdRequest request : List.copyOf(underWay)) {
             front.backend.abandon(request.ticket);
         }
         underWay.clear();
-        front.room.give(reserved + outbound);
+        front.room().give(reserved + outbound);
         reserved = 0;
         outbound = 0;
         front.ended(this);
     }
 
     /** Ends the connection from this side. */
-    void end(boolean abort) {
+    @Override
+    public void end(boolean abort) {
         if (phase != Phase.ENDED) {
             front.act(new NetAction.Close(conn, abort));
             gone();
@@ -100,7 +120,8 @@
     }
 
     /** Takes nothing more, and ends once the last answer is written. */
-    void closeWhenQuiet() {
+    @Override
+    public void closeWhenQuiet() {
         if (phase == Phase.HANDSHAKE && volume == null) {
             end(false);
             return;
@@ -121,7 +142,7 @@
         int bytes = data.remaining();
         outbound += bytes;
         // Replies are bounded by their requests; they take room without asking for it.
-        front.room.give(-bytes);
+        front.room().give(-bytes);
         front.act(new NetAction.Write(conn, data));
     }
 
@@ -241,7 +262,7 @@
             return true;
         }
         long cost = cost(header);
-        if (!front.room.take(cost, reserved + outbound == 0, this)) {
+        if (!front.room().take(cost, reserved + outbound == 0, this)) {
             return false;
         }
         reserved += cost;
@@ -288,7 +309,7 @@
     void answered(NbdRequest request) {
         underWay.remove(request);
         reserved -= request.cost;
-        front.room.give(request.cost);
+        front.room().give(request.cost);
         pump();
         endIfQuiet();
     }
--- a/core/src/main/java/garnetreel/core/front/OptionHandler.java
+++ b/core/src/main/java/garnetreel/core/front/OptionHandler.java
@@ -50,11 +50,11 @@
             session.end(false);
             return;
         }
-        if (session.turnedAway || front.draining()) {
+        if (session.turnedAway() || front.draining()) {
             if (code == Nbd.OPT_EXPORT_NAME) {
                 session.end(false);
-            } else if (session.turnedAway) {
-                error(code, Nbd.REP_ERR_POLICY, "this head serves " + front.settings.bounds().connections()
+            } else if (session.turnedAway()) {
+                error(code, Nbd.REP_ERR_POLICY, "this head serves " + front.settings().bounds().connections()
                         + " connections, its most; try again later or another head");
             } else {
                 error(code, Nbd.REP_ERR_SHUTDOWN, "this head is shutting down");
@@ -117,7 +117,7 @@
             session.write(NbdWriter.infoText(code, Nbd.INFO_DESCRIPTION, volume.description()));
         }
         if (infos.contains(Nbd.INFO_BLOCK_SIZE)) {
-            session.write(NbdWriter.infoBlockSize(code, 1, PREFERRED_BLOCK, front.settings.bounds().payload()));
+            session.write(NbdWriter.infoBlockSize(code, 1, PREFERRED_BLOCK, front.settings().bounds().payload()));
         }
         ack(code);
         if (code == Nbd.OPT_GO) {
--- a/core/src/main/java/garnetreel/core/front/Room.java
+++ b/core/src/main/java/garnetreel/core/front/Room.java
@@ -11,9 +11,9 @@
  * <p>One that holds nothing may always have one request, so that a request larger than the bound is served alone
  * rather than never; the overshoot is one payload a connection at most.
  */
-final class Room {
+public final class Room {
     /** Who waits for room. */
-    interface Waiter {
+    public interface Waiter {
         void roomAgain();
     }
 
@@ -21,12 +21,12 @@
     private final Set<Waiter> waiters = new LinkedHashSet<>();
     private long held;
 
-    Room(long most) {
+    public Room(long most) {
         this.most = most;
     }
 
     /** Takes room if there is some; else the caller waits and is called when there may be. */
-    boolean take(long bytes, boolean holdsNothing, Waiter waiter) {
+    public boolean take(long bytes, boolean holdsNothing, Waiter waiter) {
         if (held + bytes > most && !(holdsNothing && held < 2 * most)) {
             waiters.add(waiter);
             return false;
@@ -35,16 +35,25 @@
         return true;
     }
 
-    void give(long bytes) {
+    /** Whether more may be held; else the caller waits and is called when it may. */
+    public boolean mayHold(Waiter waiter) {
+        if (held < most) {
+            return true;
+        }
+        waiters.add(waiter);
+        return false;
+    }
+
+    public void give(long bytes) {
         held -= bytes;
     }
 
-    void leave(Waiter waiter) {
+    public void leave(Waiter waiter) {
         waiters.remove(waiter);
     }
 
     /** Calls who waits, in order, while there is room. */
-    void pump() {
+    public void pump() {
         if (held >= most || waiters.isEmpty()) {
             return;
         }
@@ -60,7 +69,7 @@
         }
     }
 
-    long held() {
+    public long held() {
         return held;
     }
 }
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/front/rsync/RsyncFront.java
@@ -0,0 +1,88 @@
+package garnetreel.core.front.rsync;
+
+import garnetreel.codec.rsync.Sums;
+import garnetreel.core.HeadSettings;
+import garnetreel.core.desk.Backend;
+import garnetreel.core.front.Front;
+import garnetreel.core.front.Room;
+import java.nio.ByteBuffer;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/** All rsync connections of a head, and the modules they may open. */
+public final class RsyncFront extends Front<RsyncSession> {
+    /** Tags of blocks of files, which no NBD client gives. */
+    private static final long TAGS = 1L << 62;
+    /** Between two looks for connections on which nothing happens. */
+    private static final long LOOK_EVERY = 1_000_000;
+
+    final Backend backend;
+    final FileKeeper files;
+    private final TreeMap<Long, List<Runnable>> later = new TreeMap<>();
+    private long tags;
+    private long challenges;
+    private long lookAt;
+
+    public RsyncFront(HeadSettings settings, Backend backend, Room room, FileKeeper files) {
+        super(settings, room);
+        this.backend = backend;
+        this.files = files;
+    }
+
+    HeadSettings settings() {
+        return settings;
+    }
+
+    Room room() {
+        return room;
+    }
+
+    long time() {
+        return now();
+    }
+
+    long nextTag() {
+        return TAGS | (long) settings.head() << 40 | ++tags;
+    }
+
+    HeadSettings.Module module(String name) {
+        return settings.files().modules().stream().filter(m -> m.name().equals(name)).findFirst().orElse(null);
+    }
+
+    /** Bytes that nobody can foretell and that never come again. */
+    byte[] nonce() {
+        MessageDigest md5 = Sums.md5();
+        md5.update(settings.files().secret());
+        return md5.digest(ByteBuffer.allocate(24).putLong(settings.incarnation()).putLong(++challenges).putLong(now())
+                .array());
+    }
+
+    void later(long micros, Runnable what) {
+        later.computeIfAbsent(now() + micros, any -> new ArrayList<>(1)).add(what);
+    }
+
+    @Override
+    protected RsyncSession open(long conn, boolean full, long handshakeUntil) {
+        return new RsyncSession(this, conn, full, handshakeUntil);
+    }
+
+    @Override
+    public long wakeAt() {
+        long next = connections() == 0 ? Long.MAX_VALUE : Math.max(now(), lookAt);
+        return Math.min(Math.min(next, super.wakeAt()), later.isEmpty() ? Long.MAX_VALUE : later.firstKey());
+    }
+
+    @Override
+    public void expire() {
+        super.expire();
+        while (!later.isEmpty() && later.firstKey() <= now()) {
+            later.pollFirstEntry().getValue().forEach(Runnable::run);
+        }
+        if (now() >= lookAt) {
+            lookAt = now() + LOOK_EVERY;
+            sessions().forEach(RsyncSession::look);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/front/rsync/Sender.java
@@ -0,0 +1,330 @@
+package garnetreel.core.front.rsync;
+
+import garnetreel.codec.ProtocolException;
+import garnetreel.codec.rsync.Delta;
+import garnetreel.codec.rsync.FileItem;
+import garnetreel.codec.rsync.ListCodec;
+import garnetreel.codec.rsync.Rsync;
+import garnetreel.codec.rsync.RsyncIn;
+import garnetreel.core.HeadSettings;
+import garnetreel.core.Volume;
+import garnetreel.files.FileEntry;
+import garnetreel.files.FileEntry.Piece;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A pull: lists what was asked for, then sends what the client's generator requests, as delta against what it has. */
+final class Sender implements Transfer {
+    /** Bytes of a block that is read, and blocks under way for one client. */
+    private static final int READ = 128 << 10;
+    private static final int READS_OUT = 4;
+    private static final int LAST_PHASE = 2;
+    private static final int ENTRIES_A_STEP = 256;
+
+    private enum State { FILTERS, LIST, REQUESTS, HEAD, SUMS, SENDING, GOODBYE }
+
+    private final RsyncSession session;
+    private final HeadSettings.Module module;
+    private final Options options;
+    private final int seed;
+    private final Volume volume;
+    private final Filters filters = new Filters();
+    private final ListCodec list;
+    private final List<FileItem> items = new ArrayList<>();
+    private final List<FileEntry> entries = new ArrayList<>();
+    private State state = State.FILTERS;
+    private int listed;
+    private int phase;
+    private long total;
+    private boolean failed;
+    private int index;
+    private int flags;
+    private int basisKind;
+    private String otherName = "";
+    private Delta.Basis basis;
+    private FileEntry sending;
+    private Delta delta;
+    private long asked;
+    private long sent;
+    private String error;
+    private final ArrayDeque<Blocks.Done[]> reads = new ArrayDeque<>();
+
+    Sender(RsyncSession session, HeadSettings.Module module, Options options, int seed) {
+        this.session = session;
+        this.module = module;
+        this.options = options;
+        this.seed = seed;
+        this.volume = session.front.files.volume(module.name());
+        this.list = new ListCodec(new ListCodec.Form(options.links, options.owner, options.group, options.checksum));
+    }
+
+    @Override
+    public boolean step() throws ProtocolException {
+        session.in.mark();
+        try {
+            return switch (state) {
+                case FILTERS -> filter();
+                case LIST -> list();
+                case REQUESTS -> request();
+                case HEAD -> head();
+                case SUMS -> sums();
+                case SENDING -> send();
+                case GOODBYE -> goodbye();
+            };
+        } catch (RsyncIn.Short e) {
+            session.in.reset();
+            return false;
+        }
+    }
+
+    // ---------------------------------------------------------------- the list
+
+    private boolean filter() throws RsyncIn.Short, ProtocolException {
+        int length = session.in.i32();
+        if (length < 0 || length > Rsync.NAME_MOST) {
+            throw new ProtocolException("a filter rule of " + length + " bytes");
+        }
+        if (length > 0) {
+            filters.add(session.in.text(length));
+            return true;
+        }
+        collect();
+        state = State.LIST;
+        return true;
+    }
+
+    private void collect() throws ProtocolException {
+        List<FileItem> found = new ArrayList<>();
+        List<FileEntry> from = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (String word : options.paths) {
+            String path = Names.argument(module.name(), word);
+            FileEntry entry = path.isEmpty() ? FileEntry.directory(module.name(), "", 0755, 0)
+                    : session.front.files.catalogue().get(module.name(), path);
+            if (entry == null) {
+                failed = true;
+                session.tell(Rsync.ERROR_XFER, "rsync: link_stat \"/" + Names.printable(path) + "\" (in " + module.name()
+                        + ") failed: No such file or directory (2)\n");
+                continue;
+            }
+            boolean contents = path.isEmpty() || word.endsWith("/") || word.endsWith("/.");
+            String root = contents ? path : Names.parent(path);
+            if (!entry.directory()) {
+                add(found, from, names, entry, Names.last(path));
+                continue;
+            }
+            if (!options.recursive && !options.dirs) {
+                session.tell(Rsync.INFO, "skipping directory " + (path.isEmpty() ? "." : Names.printable(path)) + "\n");
+                continue;
+            }
+            add(found, from, names, entry, contents ? "." : Names.last(path));
+            if (options.recursive || contents) {
+                below(found, from, names, path, root);
+            }
+        }
+        List<Integer> order = new ArrayList<>();
+        for (int i = 0; i < found.size(); i++) {
+            order.add(i);
+        }
+        Collections.sort(order, (a, b) -> FileItem.ORDER.compare(found.get(a), found.get(b)));
+        for (int at : order) {
+            items.add(found.get(at));
+            entries.add(from.get(at));
+        }
+    }
+
+    private void below(List<FileItem> found, List<FileEntry> from, Set<String> names, String path, String root) {
+        Set<String> hidden = new HashSet<>();
+        for (FileEntry entry : session.front.files.catalogue().below(module.name(), path)) {
+            String name = root.isEmpty() ? entry.path() : entry.path().substring(root.length() + 1);
+            boolean child = Names.parent(entry.path()).equals(path);
+            if (!options.recursive && !child) {
+                continue;
+            }
+            // What a hidden directory holds is hidden with it; the catalogue gives a directory before what it holds.
+            if (hidden.contains(Names.parent(name)) || filters.hides(name, entry.directory())) {
+                if (entry.directory()) {
+                    hidden.add(name);
+                }
+                continue;
+            }
+            add(found, from, names, entry, name);
+        }
+    }
+
+    private void add(List<FileItem> found, List<FileEntry> from, Set<String> names, FileEntry entry, String name) {
+        boolean link = !entry.directory() && !entry.regular();
+        if (link && !options.links || !names.add(name)) {
+            return;
+        }
+        total += entry.regular() ? entry.size() : 0;
+        found.add(new FileItem(name, entry.mode(), entry.size(), entry.modified(), entry.target(),
+                entry.regular() ? entry.sum() : null));
+        from.add(entry);
+    }
+
+    private boolean list() {
+        if (!session.mayWrite()) {
+            return false;
+        }
+        for (int end = Math.min(items.size(), listed + ENTRIES_A_STEP); listed < end; listed++) {
+            list.write(session.out, items.get(listed));
+        }
+        if (listed == items.size()) {
+            session.out.u8(0);
+            if (options.owner && !options.numericIds) {
+                session.out.varint(0);
+            }
+            if (options.group && !options.numericIds) {
+                session.out.varint(0);
+            }
+            if (failed) {
+                session.tell(Rsync.IO_ERROR, 1);
+            }
+            state = State.REQUESTS;
+        }
+        session.flush();
+        return true;
+    }
+
+    // ---------------------------------------------------------------- requests
+
+    private boolean request() throws RsyncIn.Short, ProtocolException {
+        if (!session.mayWrite()) {
+            return false;
+        }
+        index = session.in.index();
+        if (index == Rsync.DONE) {
+            session.out.index(Rsync.DONE);
+            if (++phase > LAST_PHASE) {
+                session.out.varlong(session.heard(), 3).varlong(session.told(), 3).varlong(total, 3).varlong(0, 3)
+                        .varlong(0, 3);
+                state = State.GOODBYE;
+            }
+            session.flush();
+            return true;
+        }
+        flags = session.in.u16();
+        basisKind = (flags & Rsync.ITEM_BASIS) != 0 ? session.in.u8() : 0;
+        otherName = (flags & Rsync.ITEM_XNAME) != 0 ? session.in.vstring() : "";
+        if (index == items.size() && flags == Rsync.ITEM_NEW) {
+            return true; // a sign of life
+        }
+        if (index < 0 || index >= items.size()) {
+            throw new ProtocolException("index " + index + " of a list of " + items.size());
+        }
+        if ((flags & Rsync.ITEM_TRANSFER) == 0 || options.dryRun) {
+            item();
+            return true;
+        }
+        if (!items.get(index).regular()) {
+            throw new ProtocolException("index " + index + " is no regular file");
+        }
+        state = State.HEAD;
+        return true;
+    }
+
+    private void item() {
+        session.out.index(index).u16(flags);
+        if ((flags & Rsync.ITEM_BASIS) != 0) {
+            session.out.u8(basisKind);
+        }
+        if ((flags & Rsync.ITEM_XNAME) != 0) {
+            session.out.vstring(otherName);
+        }
+    }
+
+    private boolean head() throws RsyncIn.Short, ProtocolException {
+        basis = new Delta.Basis(session.in.i32(), session.in.i32(), session.in.i32(), session.in.i32());
+        state = State.SUMS;
+        return true;
+    }
+
+    private boolean sums() throws RsyncIn.Short {
+        while (!basis.full()) {
+            session.in.mark();
+            basis.read(session.in);
+        }
+        sending = entries.get(index);
+        session.front.files.catalogue().open(sending);
+        item();
+        basis.writeHead(session.out);
+        delta = new Delta(basis, seed, session.out);
+        asked = 0;
+        sent = 0;
+        error = null;
+        state = State.SENDING;
+        return true;
+    }
+
+    private boolean send() {
+        boolean moved = false;
+        while (error == null && asked < sending.size() && reads.size() < READS_OUT && session.mayWrite()) {
+            Piece piece = sending.at(asked, READ);
+            Blocks.Done[] slot = new Blocks.Done[1];
+            reads.add(slot);
+            asked += piece.length();
+            moved = true;
+            session.blocks.read(volume, piece.offset(), (int) piece.length(), done -> {
+                slot[0] = done;
+                session.pump();
+            });
+        }
+        while (!reads.isEmpty() && reads.peek()[0] != null) {
+            Blocks.Done done = reads.poll()[0];
+            moved = true;
+            if (error == null && done.ok()) {
+                byte[] bytes = new byte[done.data().remaining()];
+                done.data().duplicate().get(bytes);
+                delta.add(bytes, 0, bytes.length);
+                sent += bytes.length;
+                session.flush();
+            } else if (error == null) {
+                error = done.error();
+            }
+        }
+        if (reads.isEmpty() && (error != null || sent == sending.size())) {
+            finish();
+            return true;
+        }
+        return moved;
+    }
+
+    /** Ends a file. One that can't be read whole ends with a checksum that it does not have, so nobody keeps it. */
+    private void finish() {
+        byte[] sum = delta.end();
+        boolean damaged = error == null && !Arrays.equals(sum, sending.sum());
+        session.front.files.catalogue().close(sending);
+        if (error != null || damaged) {
+            String why = damaged ? "its contents do not match their checksum" : error;
+            session.out.spoil(Rsync.STRONG);
+            session.tell(Rsync.ERROR_XFER, "rsync: read errors mapping \"/" + Names.printable(sending.path()) + "\" (in "
+                    + module.name() + "): " + why + "\n");
+            session.tell(Rsync.IO_ERROR, 1);
+        }
+        sending = null;
+        session.flush();
+        state = State.REQUESTS;
+    }
+
+    private boolean goodbye() throws RsyncIn.Short, ProtocolException {
+        if (session.in.index() != Rsync.DONE) {
+            throw new ProtocolException("something else than a goodbye");
+        }
+        session.finished();
+        return false;
+    }
+
+    @Override
+    public void gone() {
+        if (sending != null) {
+            session.front.files.catalogue().close(sending);
+            sending = null;
+        }
+    }
+}
--- /dev/null
+++ b/files/src/main/java/garnetreel/files/FileChange.java
@@ -0,0 +1,65 @@
+package garnetreel.files;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A change of the catalogue: names that become visible and names that go, at one instant or not at all. It is durable as
+ * one record of a journal.
+ *
+ * @param seq counts changes from 1
+ * @param gone names that are removed, before {@code put} comes
+ */
+public record FileChange(long seq, List<Name> gone, List<FileEntry> put) {
+
+    /** A name in a module. */
+    public record Name(String module, String path) implements Comparable<Name> {
+        @Override
+        public int compareTo(Name other) {
+            int byModule = module.compareTo(other.module);
+            return byModule != 0 ? byModule : path.compareTo(other.path);
+        }
+    }
+
+    public byte[] bytes() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeLong(seq);
+            out.writeInt(gone.size());
+            for (Name name : gone) {
+                out.writeUTF(name.module());
+                out.writeUTF(name.path());
+            }
+            out.writeInt(put.size());
+            for (FileEntry entry : put) {
+                entry.write(out);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    public static FileChange of(byte[] bytes) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            long seq = in.readLong();
+            List<Name> gone = new ArrayList<>();
+            for (int left = in.readInt(); left > 0; left--) {
+                gone.add(new Name(in.readUTF(), in.readUTF()));
+            }
+            List<FileEntry> put = new ArrayList<>();
+            for (int left = in.readInt(); left > 0; left--) {
+                put.add(FileEntry.read(in));
+            }
+            return new FileChange(seq, gone, put);
+        } catch (IOException e) {
+            throw new IllegalStateException("a record of the file catalogue is damaged: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/files/src/main/java/garnetreel/files/FileEntry.java
@@ -0,0 +1,113 @@
+package garnetreel.files;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * One name of a module as of one version. Immutable: a change is an entry of a later version.
+ *
+ * @param module the module it is in, and {@code path} its name there: parts separated by slashes, a character a byte
+ * @param version counts changes over all modules; a name that was replaced has a higher one
+ * @param mode kind and permissions, as POSIX has them
+ * @param modified seconds of the epoch
+ * @param sum MD5 of the contents; empty where it is no regular file
+ * @param pieces where the contents are, in order
+ * @param target of a symbolic link; else empty
+ */
+public record FileEntry(String module, String path, long version, int mode, long size, long modified, byte[] sum,
+        List<Piece> pieces, String target) {
+
+    private static final int KIND = 0170000;
+    private static final int REGULAR = 0100000;
+    private static final int DIRECTORY = 0040000;
+
+    /** A stretch of a volume. */
+    public record Piece(long offset, long length) { }
+
+    public static FileEntry directory(String module, String path, int mode, long modified) {
+        return new FileEntry(module, path, 0, DIRECTORY | mode & 07777, 0, modified, new byte[0], List.of(), "");
+    }
+
+    public static FileEntry link(String module, String path, int mode, long modified, String target) {
+        return new FileEntry(module, path, 0, mode, target.length(), modified, new byte[0], List.of(), target);
+    }
+
+    public boolean directory() {
+        return (mode & KIND) == DIRECTORY;
+    }
+
+    public boolean regular() {
+        return (mode & KIND) == REGULAR;
+    }
+
+    FileEntry at(long newVersion) {
+        return new FileEntry(module, path, newVersion, mode, size, modified, sum, pieces, target);
+    }
+
+    /** The same contents with other attributes. */
+    public FileEntry with(int newMode, long newModified) {
+        return new FileEntry(module, path, version, newMode, size, newModified, sum, pieces, target);
+    }
+
+    /** Place of a byte of the contents, and how many follow it there: as a piece. */
+    public Piece at(long offset, long most) {
+        long before = 0;
+        for (Piece piece : pieces) {
+            if (offset < before + piece.length()) {
+                long within = offset - before;
+                return new Piece(piece.offset() + within, Math.min(most, piece.length() - within));
+            }
+            before += piece.length();
+        }
+        throw new IllegalArgumentException(path + " has no byte " + offset);
+    }
+
+    void write(DataOutputStream out) throws IOException {
+        out.writeUTF(module);
+        out.writeUTF(path);
+        out.writeLong(version);
+        out.writeInt(mode);
+        out.writeLong(size);
+        out.writeLong(modified);
+        out.writeByte(sum.length);
+        out.write(sum);
+        out.writeInt(pieces.size());
+        for (Piece piece : pieces) {
+            out.writeLong(piece.offset());
+            out.writeLong(piece.length());
+        }
+        out.writeUTF(target);
+    }
+
+    static FileEntry read(DataInputStream in) throws IOException {
+        String module = in.readUTF();
+        String path = in.readUTF();
+        long version = in.readLong();
+        int mode = in.readInt();
+        long size = in.readLong();
+        long modified = in.readLong();
+        byte[] sum = in.readNBytes(in.readUnsignedByte());
+        int count = in.readInt();
+        List<Piece> pieces = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            pieces.add(new Piece(in.readLong(), in.readLong()));
+        }
+        return new FileEntry(module, path, version, mode, size, modified, sum, pieces, in.readUTF());
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof FileEntry e && module.equals(e.module) && path.equals(e.path) && version == e.version
+                && mode == e.mode && size == e.size && modified == e.modified && Arrays.equals(sum, e.sum)
+                && pieces.equals(e.pieces) && target.equals(e.target);
+    }
+
+    @Override
+    public int hashCode() {
+        return path.hashCode() * 31 + Long.hashCode(version);
+    }
+}
--- /dev/null
+++ b/files/src/test/java/garnetreel/files/CatalogueTest.java
@@ -0,0 +1,132 @@
+package garnetreel.files;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import garnetreel.files.FileChange.Name;
+import garnetreel.files.FileEntry.Piece;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class CatalogueTest {
+    private static final long SIZE = 1 << 20;
+    private static final List<Catalogue.Place> PLACES = List.of(new Catalogue.Place("pages", 9, SIZE));
+
+    private final Catalogue files = new Catalogue(PLACES, null, List.of());
+    private final List<byte[]> journal = new ArrayList<>();
+
+    private FileEntry file(String path, long size) {
+        return new FileEntry("pages", path, 0, 0100644, size, 7, new byte[16], files.reserve("pages", size), "");
+    }
+
+    private FileEntry put(FileEntry entry) {
+        commit(List.of(), List.of(entry));
+        return files.get("pages", entry.path());
+    }
+
+    private void commit(List<Name> gone, List<FileEntry> put) {
+        FileChange change = files.change(files.seq(), gone, put);
+        journal.add(change.bytes());
+        files.apply(FileChange.of(change.bytes()));
+    }
+
+    @Test
+    void killAtAnyStepLeavesTheOldOrTheNewVersionAndLeaksNoRoom() {
+        SplittableRandom random = new SplittableRandom(5);
+        List<List<FileEntry>> states = new ArrayList<>();
+        List<Long> free = new ArrayList<>();
+        List<byte[]> snapshots = new ArrayList<>();
+        for (int i = 0; i < 120; i++) {
+            states.add(files.below("pages", ""));
+            free.add(files.free("pages"));
+            snapshots.add(files.snapshot());
+            String path = "f" + random.nextInt(20);
+            if (i % 4 == 3) {
+                commit(List.of(new Name("pages", path)), List.of());
+            } else {
+                files.reserve("pages", 5000); // somebody's push that the kill ends: it must leave nothing
+                put(file(path, random.nextInt(30_000)));
+                files.release("pages", List.of()); // nothing given back: the kill does it
+            }
+        }
+        for (int kill = 0; kill < states.size(); kill++) {
+            for (int snapshot = 0; snapshot <= kill; snapshot += 17) {
+                Catalogue back = new Catalogue(PLACES, snapshots.get(snapshot),
+                        journal.subList(Math.max(0, snapshot - 3), kill));
+                assertEquals(states.get(kill), back.below("pages", ""), "killed after " + kill);
+                long used = back.below("pages", "").stream().mapToLong(e -> (e.size() + 4095) / 4096 * 4096).sum();
+                assertEquals(SIZE - used, back.free("pages"), "room leaked after " + kill);
+            }
+        }
+    }
+
+    @Test
+    void versionThatIsReadKeepsItsRoomUntilItsReaderIsDone() {
+        FileEntry old = put(file("a", 10_000));
+        files.open(old);
+        files.open(old);
+        FileEntry now = put(file("a", 10_000));
+        assertNotEquals(old.pieces(), now.pieces());
+        assertEquals(SIZE - 2 * 12_288, files.free("pages"));
+        files.close(old);
+        assertEquals(SIZE - 2 * 12_288, files.free("pages"));
+        files.close(old);
+        assertEquals(SIZE - 12_288, files.free("pages"));
+    }
+
+    @Test
+    void newAttributesKeepTheContentsAlsoWhileTheyAreRead() {
+        FileEntry old = put(file("a", 10_000));
+        files.open(old);
+        FileEntry touched = put(old.with(0100600, 99));
+        assertEquals(old.pieces(), touched.pieces());
+        commit(List.of(new Name("pages", "a")), List.of());
+        assertEquals(SIZE - 12_288, files.free("pages"), "it is read still");
+        files.close(old);
+        assertEquals(SIZE, files.free("pages"));
+    }
+
+    @Test
+    void fullVolumeGivesNothingAndScatteredRoomIsUsed() {
+        for (int i = 0; i < 256; i++) {
+            put(file("f" + i, 4096));
+        }
+        assertNull(files.reserve("pages", 1));
+        commit(List.of(new Name("pages", "f10"), new Name("pages", "f20")), List.of());
+        assertNull(files.reserve("pages", 8193));
+        FileEntry both = put(file("both", 8000));
+        assertEquals(2, both.pieces().size());
+        assertEquals(new Piece(both.pieces().get(1).offset() + 904, 3000), both.at(5000, 3000));
+        assertThrows(IllegalArgumentException.class, () -> both.at(8000, 1));
+    }
+
+    @Test
+    void damageGapsAndRoomInUseTwiceAreSaid() {
+        put(file("a", 100));
+        put(file("b", 100));
+        put(file("c", 100));
+        assertThrows(IllegalStateException.class, () -> new Catalogue(PLACES, null, List.of(journal.get(0),
+                journal.get(2))));
+        byte[] snapshot = files.snapshot();
+        snapshot[20] ^= 1;
+        assertThrows(IllegalStateException.class, () -> new Catalogue(PLACES, snapshot, List.of()));
+        FileEntry a = files.get("pages", "a");
+        FileEntry twice = new FileEntry("pages", "z", 9, a.mode(), a.size(), 1, a.sum(), a.pieces(), "");
+        assertThrows(IllegalStateException.class, () -> new Catalogue(PLACES, files.snapshot(),
+                List.of(new FileChange(4, List.of(), List.of(twice)).bytes())));
+    }
+
+    @Test
+    void belowGivesADirectoryAndNotItsNeighbours() {
+        put(FileEntry.directory("pages", "d", 0755, 1));
+        put(file("d/x", 1));
+        put(file("d.x", 1));
+        put(file("e", 1));
+        assertEquals(List.of("d/x"), files.below("pages", "d").stream().map(FileEntry::path).toList());
+        assertEquals(4, files.below("pages", "").size());
+    }
+}
--- a/net/src/main/java/garnetreel/net/BackgroundKeeper.java
+++ b/net/src/main/java/garnetreel/net/BackgroundKeeper.java
@@ -1,7 +1,9 @@
 package garnetreel.net;
 
+import garnetreel.store.Journal;
 import garnetreel.store.StateDirectory;
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -14,13 +16,19 @@
 public final class BackgroundKeeper implements Driver.Keeper, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(BackgroundKeeper.class);
 
+    private record Record(long seq, byte[] data, int kept, Runnable durable) { }
+
     private final StateDirectory directory;
+    private final Journal journal;
+    private final ArrayDeque<Record> records = new ArrayDeque<>();
     private final Map<String, byte[]> waiting = new LinkedHashMap<>();
     private final Thread thread;
     private boolean closed;
 
-    public BackgroundKeeper(StateDirectory directory) {
+    /** @param journal takes records and snapshots; null for a machine that writes none */
+    public BackgroundKeeper(StateDirectory directory, Journal journal) {
         this.directory = directory;
+        this.journal = journal;
         thread = new Thread(this::run, "keeper");
         thread.setDaemon(true);
         thread.start();
@@ -32,20 +40,49 @@
         notifyAll();
     }
 
+    @Override
+    public synchronized void append(long seq, byte[] data, Runnable durable) {
+        records.add(new Record(seq, data, -1, durable));
+        notifyAll();
+    }
+
+    @Override
+    public synchronized void snapshot(long seq, byte[] data, int kept) {
+        records.add(new Record(seq, data, kept, null));
+        notifyAll();
+    }
+
+    private void write(Record record) {
+        if (record.durable() == null) {
+            journal.snapshot(record.seq(), record.data(), record.kept());
+        } else {
+            journal.append(record.seq(), record.data());
+            record.durable().run();
+        }
+    }
+
     private void run() {
         try {
             while (true) {
-                String name;
-                byte[] data;
+                String name = null;
+                byte[] data = null;
+                Record record;
                 synchronized (this) {
-                    while (waiting.isEmpty()) {
+                    while (waiting.isEmpty() && records.isEmpty()) {
                         if (closed) {
                             return;
                         }
                         wait();
                     }
-                    name = waiting.keySet().iterator().next();
-                    data = waiting.remove(name);
+                    record = records.poll();
+                    if (record == null) {
+                        name = waiting.keySet().iterator().next();
+                        data = waiting.remove(name);
+                    }
+                }
+                if (record != null) {
+                    write(record);
+                    continue;
                 }
                 try {
                     directory.write(name, data);
@@ -70,5 +107,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (journal != null) {
+            journal.close();
+        }
     }
 }
