--- a/cli/src/main/java/garnetreel/cli/trial/DayCommand.java
+++ b/cli/src/main/java/garnetreel/cli/trial/DayCommand.java
@@ -134,6 +134,9 @@
         result.tallies().forEach((load, byOp) -> byOp.forEach((op, t) -> out.printf(
                 "%-18s %-6s %8d %8d %8d %8d %8d %8d %8d%n", load, op, t.asked, t.inTime, t.served - t.inTime,
                 t.refused, t.failed, t.unreachable, t.tries)));
+        result.folders().forEach((name, t) -> out.printf(
+                "%-18s %d pushes, %d pulls: %d whole, %d broken off; %d files, %d bytes, %d of them literal; %d wrong%n", name,
+                t.pushes, t.pulls, t.whole, t.broken, t.files, t.bytes, t.literal, t.misread));
         for (Verdict verdict : result.verdicts()) {
             out.println(line(verdict));
             verdict.broken().forEach(b -> out.println("       " + b));
--- a/cli/src/main/java/garnetreel/cli/trial/DayFile.java
+++ b/cli/src/main/java/garnetreel/cli/trial/DayFile.java
@@ -11,6 +11,7 @@
 import garnetreel.standin.client.LoadSettings;
 import garnetreel.standin.client.LoadSettings.HeadAddress;
 import garnetreel.standin.client.LoadSettings.Times;
+import garnetreel.standin.client.RsyncLoad;
 import garnetreel.standin.day.DaySettings;
 import garnetreel.standin.day.Trouble;
 import garnetreel.standin.node.NodeSettings;
@@ -88,6 +89,9 @@
         });
         check(!loads.isEmpty(), "", "lacks a block load");
         loadScript();
+        settings.root().path("folder").fields().forEachRemaining(e -> check(settings.root().path("module_of_files")
+                .has(e.getValue().path("module").asText()), "/folder/" + e.getKey() + "/module",
+                "names a module that there is not"));
         settings.root().path("trouble").fields().forEachRemaining(e -> troubles.add(trouble(e.getKey(),
                 e.getValue())));
     }
@@ -134,7 +138,7 @@
                 settings.micros("/day/settle", "5s"), settings.heads(), List.copyOf(nodes.values()), settings.micros("/list/lag", "0s"),
                 place -> settings.head(place.head(), place.incarnation(), place.listen(), place.list(),
                         place.map()),
-                Control::new, this::loads, List.copyOf(troubles), new RuleSettings(settings.rules(),
+                Control::new, this::loads, this::folders, List.copyOf(troubles), new RuleSettings(settings.rules(),
                         settings.volumesById(), settings.classes(), settings.plans(), transit),
                 settings.root().path("map").isMissingNode() ? null : new DaySettings.MapDay(
                         (listen, list) -> settings.mapd(listen, list, 1), settings.firstMap(),
@@ -161,6 +165,20 @@
                 new MapService.DrainOrder(e.getValue().path("shard").asInt(), true))));
     }
 
+    private List<RsyncLoad> folders(List<String> addresses) {
+        List<RsyncLoad> all = new ArrayList<>();
+        settings.root().path("folder").fields().forEachRemaining(e -> {
+            String path = "/folder/" + e.getKey();
+            int head = (int) settings.number("/module_of_files/" + e.getValue().path("module").asText() + "/head", 0);
+            all.add(new RsyncLoad(e.getKey(), e.getValue().path("module").asText(), head, addresses.get(head),
+                    (int) settings.number(path + "/files", 10), (int) settings.bytes(path + "/least", "0B"),
+                    (int) settings.bytes(path + "/most", "64KiB"), (int) settings.number(path + "/changes", 1),
+                    settings.micros(path + "/rest", "1s"), settings.micros(path + "/start", "0s"),
+                    settings.micros(path + "/stop", settings.text("/day/length", "10s"))));
+        });
+        return all;
+    }
+
     private List<LoadSettings> loads(List<String> addresses) {
         Map<String, Integer> sharing = new LinkedHashMap<>();
         loads.values().forEach(l -> sharing.merge(l.path("volume").asText(), 1, Integer::sum));
--- a/emulator/src/main/java/garnetreel/emulator/World.java
+++ b/emulator/src/main/java/garnetreel/emulator/World.java
@@ -278,7 +278,9 @@
             theirs.peer = mine;
             theirs.site.ends.put(theirs.conn, theirs);
             hand(theirs.site, new NetEvent.Accepted(theirs.conn, listening.listener(), site.name));
-            at(now + delay(), 0, () -> {
+            // What the other side says at once must not come before the word that the connection stands.
+            mine.lastArrival = now + delay();
+            at(mine.lastArrival, 0, () -> {
                 mine.peer = theirs;
                 if (mine.closed) {
                     end(theirs, "closed by the peer"); // it was given up while it was being opened
--- a/map/src/main/java/garnetreel/map/Rebalancer.java
+++ b/map/src/main/java/garnetreel/map/Rebalancer.java
@@ -70,7 +70,7 @@
 
     /** An extent has moved. */
     public void moved(long volume, long extent, long now) {
-        movedAt.put(new Spot(volume, extent), now);
+        movedAt.merge(new Spot(volume, extent), now, Math::max);
         movedAt.values().removeIf(at -> now - at > bounds.rest());
     }
 
--- a/mapd/src/main/java/garnetreel/mapd/MapService.java
+++ b/mapd/src/main/java/garnetreel/mapd/MapService.java
@@ -164,6 +164,12 @@
         commits.add(new Commit(() -> state.note("mapd", now, "started"), t -> {
             nodes.beginAt(t.epoch(), t.seq());
             state.moves().forEach(m -> moves.put(m.id(), new Running(m)));
+            // What moved lately rests also after a restart.
+            state.history().forEach(h -> {
+                if (h.move() != null && h.move().state() == Move.State.SWITCHED) {
+                    balancing.moved(h.move().volume(), h.move().extent(), h.when());
+                }
+            });
             ready = true;
         }));
     }
@@ -532,12 +538,14 @@
         if (!begun) {
             return now;
         }
-        long next = Math.min(Math.min(signAt, balancing.lookAt()), Math.min(nodes.wakeAt(), list.wakeAt()));
+        // A time that is asked for and not acted on would ask for turn after turn.
+        long next = Math.min(signAt, Math.min(nodes.wakeAt(), list.wakeAt()));
+        next = ready && !wentBack() ? Math.min(next, balancing.lookAt()) : next;
         if (!watching) {
             next = Math.min(next, listAgainAt);
         }
         for (Running run : moves.values()) {
-            if (!run.waiting) {
+            if (!run.waiting && ready && !wentBack()) {
                 next = Math.min(next, Math.max(now, run.notBefore));
             }
         }
--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -54,6 +54,10 @@
     private static final int BACKLOG = 1024;
     private static final OptionMap SOCKET = OptionMap.builder().set(Options.TCP_NODELAY, true)
             .set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG).getMap();
+    /** Turns that a machine gets in a row when it wants them at once; then sockets are looked at. */
+    private static final int TURNS_AT_ONCE = 16;
+    /** XNIO counts timers in whole milliseconds: a shorter one is a task, which runs before the selection. */
+    private static final long YIELD_MILLIS = 1;
     /** Longest wait without a look at the machine's alarm. */
     private static final long LONGEST_WAIT = 3_600_000_000L;
 
@@ -76,6 +80,7 @@
     private final XnioIoThread io;
     /** When the earliest timer that is set will call for a turn. */
     private long timerAt = Long.MAX_VALUE;
+    private boolean yielding;
     private volatile boolean dead;
     private volatile long stalledUntil = Long.MIN_VALUE;
 
@@ -153,24 +158,10 @@
             return;
         }
         try {
-            while (!dead && clock.micros() < stalledUntil) {
-                LockSupport.parkNanos((stalledUntil - clock.micros()) * 1000);
-            }
-            List<NetEvent> events = inbox.take();
-            machine.turn(clock.micros(), events, actions);
-            for (NetAction action : actions) {
-                perform(action);
-            }
-            actions.clear();
-            flush();
-            for (NetEvent event : events) {
-                if (event instanceof NetEvent.Received got && wires.get(got.conn()) != null) {
-                    wires.get(got.conn()).handled();
-                } else if (event instanceof NetEvent.Closed closed) {
-                    wires.remove(closed.conn());
-                    paused.remove(closed.conn());
-                }
-            }
+            int turns = 0;
+            do {
+                oneTurn();
+            } while (!dead && ++turns < TURNS_AT_ONCE && machine.wakeAt() <= clock.micros());
             setTimer(machine.wakeAt());
         } catch (RuntimeException | Error e) {
             log.error("{} broke and ends", name, e);
@@ -180,12 +171,40 @@
         }
     }
 
+    private void oneTurn() {
+        while (!dead && clock.micros() < stalledUntil) {
+            LockSupport.parkNanos((stalledUntil - clock.micros()) * 1000);
+        }
+        List<NetEvent> events = inbox.take();
+        machine.turn(clock.micros(), events, actions);
+        for (NetAction action : actions) {
+            perform(action);
+        }
+        actions.clear();
+        flush();
+        for (NetEvent event : events) {
+            if (event instanceof NetEvent.Received got && wires.get(got.conn()) != null) {
+                wires.get(got.conn()).handled();
+            } else if (event instanceof NetEvent.Closed closed) {
+                wires.remove(closed.conn());
+                paused.remove(closed.conn());
+            }
+        }
+    }
+
     private void setTimer(long wake) {
         long now = clock.micros();
         if (wake <= now) {
-            // By way of the timers, so that sockets are looked at in between: XNIO empties its queue of tasks before it
-            // selects, and a machine that always wants another turn would never be told anything again.
-            io.executeAfter(this::turn, 1, TimeUnit.MICROSECONDS);
+            // Guards against a machine that always wants another turn: XNIO runs all tasks and timers that are due before
+            // it selects, so such a one would never be told anything again (with a timer of 1 us a map service that asked
+            // for turn after turn did not read a report for 2 s). One timer at a time, and not due before the selection.
+            if (!yielding) {
+                yielding = true;
+                io.executeAfter(() -> {
+                    yielding = false;
+                    turn();
+                }, YIELD_MILLIS, TimeUnit.MILLISECONDS);
+            }
         } else if (wake < timerAt && wake != Long.MAX_VALUE) {
             timerAt = wake;
             io.executeAfter(() -> {
--- a/standin/src/main/java/garnetreel/standin/day/DayRunner.java
+++ b/standin/src/main/java/garnetreel/standin/day/DayRunner.java
@@ -5,6 +5,7 @@
 import garnetreel.codec.nodelist.ListMessage.State;
 import garnetreel.core.Head;
 import garnetreel.core.HeadSettings;
+import garnetreel.core.front.rsync.FileKeeper;
 import garnetreel.core.io.Machine;
 import garnetreel.core.link.ListLink;
 import garnetreel.core.link.MapLink;
@@ -12,6 +13,8 @@
 import garnetreel.mapd.MapService;
 import garnetreel.standin.client.ClientMachine;
 import garnetreel.standin.client.LoadSettings;
+import garnetreel.standin.client.RsyncLoad;
+import garnetreel.standin.client.RsyncMachine;
 import garnetreel.standin.list.ListMachine;
 import garnetreel.standin.node.Disk;
 import garnetreel.standin.node.NodeFault;
@@ -43,8 +46,8 @@
     private static final long ADOPT_AFTER = 3_000_000;
 
     /** How a day went. */
-    public record Result(Map<String, Map<String, ClientMachine.Tally>> tallies, List<Verdict> verdicts,
-            List<TraceEvent> events, int unverified) {
+    public record Result(Map<String, Map<String, ClientMachine.Tally>> tallies, Map<String, RsyncMachine.Tally> folders,
+            List<Verdict> verdicts, List<TraceEvent> events, int unverified) {
         /** All rules kept, and each place that was written read back. */
         public boolean kept() {
             return unverified == 0 && verdicts.stream().allMatch(Verdict::kept);
@@ -85,6 +88,9 @@
         final Map<String, byte[]> kept = new HashMap<>();
         Stage.Actor actor;
         String address = ANY_PORT;
+        String files = ANY_PORT;
+        final TreeMap<Long, byte[]> journal = new TreeMap<>();
+        byte[] snapshot;
 
         HeadSite(int number) {
             this.number = number;
@@ -93,14 +99,41 @@
         void start() {
             HeadSettings settings = day.head().apply(new DaySettings.Place(number, stage.now(), address,
                     listAddress, mapAddress));
+            boolean serves = !settings.files().modules().isEmpty();
+            settings = serves ? settings.withFiles(new HeadSettings.Files(files, settings.files().modules(),
+                    settings.files().secret())) : settings;
             Machine head = wrapper.apply(new Head(settings, day.scheduler().apply(settings.scheduling(),
-                    random.nextLong()), kept.get(ListLink.REMEMBERED), kept.get(MapLink.REMEMBERED)));
-            actor = stage.launch("head-" + number, head, (name, data) -> {
-                synchronized (kept) {
-                    kept.put(name, data);
-                }
-            });
+                    random.nextLong()), kept.get(ListLink.REMEMBERED), kept.get(MapLink.REMEMBERED),
+                    new FileKeeper.Kept(snapshot, List.copyOf(journal.values()))));
+            actor = stage.launch("head-" + number, head, keeper());
             address = actor.address(Head.NBD);
+            files = serves ? actor.address(Head.RSYNC) : files;
+        }
+
+        private Stage.Keeper keeper() {
+            return new Stage.Keeper() {
+                @Override
+                public void keep(String name, byte[] data) {
+                    synchronized (kept) {
+                        kept.put(name, data);
+                    }
+                }
+
+                @Override
+                public void append(long seq, byte[] data) {
+                    synchronized (kept) {
+                        journal.put(seq, data);
+                    }
+                }
+
+                @Override
+                public void snapshot(long seq, byte[] data, int records) {
+                    synchronized (kept) {
+                        snapshot = data;
+                        journal.headMap(seq - records, true).clear();
+                    }
+                }
+            };
         }
     }
 
@@ -114,6 +147,7 @@
     private final List<HeadSite> heads = new ArrayList<>();
     private final Map<String, Stage.Actor> clients = new LinkedHashMap<>();
     private final Map<String, ClientMachine> loads = new LinkedHashMap<>();
+    private final Map<String, RsyncMachine> folders = new LinkedHashMap<>();
     private final PriorityQueue<Step> steps = new PriorityQueue<>((a, b) -> a.at() != b.at()
             ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
     private final TreeMap<Long, byte[]> mapJournal = new TreeMap<>();
@@ -166,6 +200,11 @@
             loads.put(load.name(), client);
             clients.put(load.name(), stage.launch(load.name(), client, Stage.Keeper.NONE));
         }
+        for (RsyncLoad folder : day.folders().apply(heads.stream().map(h -> h.files).toList())) {
+            RsyncMachine client = new RsyncMachine(folder, trace, day.seed() * SEED_STEP + ++number);
+            folders.put(folder.name(), client);
+            clients.put(folder.name(), stage.launch(folder.name(), client, Stage.Keeper.NONE));
+        }
         long begin = stage.now();
         day.troubles().forEach(t -> schedule(begin, t));
         scheduleMoves(begin);
@@ -184,8 +223,10 @@
         }
         Map<String, Map<String, ClientMachine.Tally>> tallies = new LinkedHashMap<>();
         loads.forEach((name, client) -> tallies.put(name, client.tallies()));
+        Map<String, RsyncMachine.Tally> copied = new LinkedHashMap<>();
+        folders.forEach((name, client) -> copied.put(name, client.tally()));
         List<TraceEvent> events = memory.events();
-        return new Result(tallies, RulesChecker.judge(day.rules(), events), events,
+        return new Result(tallies, copied, RulesChecker.judge(day.rules(), events), events,
                 loads.values().stream().mapToInt(ClientMachine::unverified).sum());
     }
 
--- a/standin/src/main/java/garnetreel/standin/day/DaySettings.java
+++ b/standin/src/main/java/garnetreel/standin/day/DaySettings.java
@@ -6,6 +6,7 @@
 import garnetreel.mapd.MapdSettings;
 import garnetreel.policy.Scheduler;
 import garnetreel.standin.client.LoadSettings;
+import garnetreel.standin.client.RsyncLoad;
 import garnetreel.standin.node.NodeSettings;
 import garnetreel.standin.rules.RuleSettings;
 import java.util.List;
@@ -18,13 +19,13 @@
  * @param length while loads ask; {@code settle} is left for the last answers
  * @param head settings of a head from its place
  * @param scheduler the decision module of a head, from its settings and a seed
- * @param loads by the head addresses of the day
+ * @param loads by the head addresses of the day, and {@code folders} by the addresses of their rsync listeners
  * @param map null where volumes stay under their first rule
  */
 public record DaySettings(String name, long seed, long length, long settle, int heads, List<NodeSettings> nodes,
         long listLag, Function<Place, HeadSettings> head, BiFunction<Scheduler.Settings, Long, Scheduler> scheduler,
-        Function<List<String>, List<LoadSettings>> loads, List<Trouble> troubles, RuleSettings rules,
-        MapDay map) {
+        Function<List<String>, List<LoadSettings>> loads, Function<List<String>, List<RsyncLoad>> folders,
+        List<Trouble> troubles, RuleSettings rules, MapDay map) {
 
     /**
      * The map service of a day.
@@ -46,13 +47,13 @@
 
     /** The same day with another seed. */
     public DaySettings withSeed(long other) {
-        return new DaySettings(name, other, length, settle, heads, nodes, listLag, head, scheduler, loads, troubles,
+        return new DaySettings(name, other, length, settle, heads, nodes, listLag, head, scheduler, loads, folders, troubles,
                 rules, map);
     }
 
     /** The same day with another map service. */
     public DaySettings withMap(MapDay other) {
-        return new DaySettings(name, seed, length, settle, heads, nodes, listLag, head, scheduler, loads, troubles,
+        return new DaySettings(name, seed, length, settle, heads, nodes, listLag, head, scheduler, loads, folders, troubles,
                 rules, other);
     }
 
@@ -60,6 +61,6 @@
     public DaySettings withHeads(Function<Place, HeadSettings> otherHead,
             BiFunction<Scheduler.Settings, Long, Scheduler> otherScheduler) {
         return new DaySettings(name, seed, length, settle, heads, nodes, listLag, otherHead, otherScheduler, loads,
-                troubles, rules, map);
+                folders, troubles, rules, map);
     }
 }
