--- /dev/null
+++ b/cli/src/test/java/garnetreel/cli/trial/RsyncTest.java
@@ -0,0 +1,208 @@
+package garnetreel.cli.trial;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.cli.Process;
+import garnetreel.cli.config.HclFile;
+import garnetreel.cli.config.Settings;
+import garnetreel.cli.config.SettingsException;
+import garnetreel.codec.rsync.FileItem;
+import garnetreel.codec.rsync.ListCodec;
+import garnetreel.codec.rsync.Rsync;
+import garnetreel.codec.rsync.RsyncOut;
+import garnetreel.codec.rsync.Sums;
+import garnetreel.core.Head;
+import garnetreel.emulator.World;
+import garnetreel.standin.client.RsyncMachine;
+import garnetreel.standin.day.DayRunner;
+import garnetreel.standin.rules.Verdict;
+import garnetreel.standin.trace.Trace;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.Base64;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The rsync front: a day with troubles in the emulator, and conversations with a head over sockets. */
+@Timeout(120)
+class RsyncTest {
+    @TempDir
+    Path temp;
+
+    private final Process process = new Process();
+
+    @AfterEach
+    void stop() {
+        process.close();
+    }
+
+    @Test
+    void foldersOnABadDayAreByteForByteWhatWasPushed() throws Exception {
+        for (long seed = 2; seed <= 3; seed++) {
+            DayRunner.Result result = new DayRunner(DayFile.read(Path.of("../days/files.hcl")).day(seed, 10_000),
+                    new World(1_000_000_000_000L, seed, new World.Delays(50, 200)), Trace.NONE,
+                    UnaryOperator.identity()).run();
+            for (Verdict verdict : result.verdicts()) {
+                assertTrue(verdict.kept(), "seed " + seed + ": " + verdict);
+            }
+            for (Map.Entry<String, RsyncMachine.Tally> folder : result.folders().entrySet()) {
+                RsyncMachine.Tally tally = folder.getValue();
+                assertEquals(0, tally.misread, folder.getKey());
+                assertTrue(tally.whole > 5 && tally.broken > 0, "not put to the test: " + folder.getKey());
+                assertTrue(tally.literal < tally.bytes / 2, "deltas found nothing: " + tally.literal + " of " + tally.bytes);
+            }
+        }
+    }
+
+    private String start(String module) throws Exception {
+        String text = """
+                service {
+                  heads = 1
+                }
+                class "read" {
+                  aim = "2s"
+                  deadline = "4s"
+                  effect = "repeatable"
+                }
+                class "write" {
+                  aim = "2s"
+                  deadline = "4s"
+                  effect = "once"
+                  writes = true
+                }
+                plan "open" {
+                  rate = 100000
+                  weight = 1
+                }
+                volume "files" {
+                  id = 1
+                  size = "1MiB"
+                  plan = "open"
+                  read_class = "read"
+                  write_class = "write"
+                  flush_class = "read"
+                  shards = [0]
+                }
+                module_of_files "pages" {
+                  volume = "files"
+                  comment = "scans"
+                %s}
+                """.formatted(module);
+        Settings settings = Settings.of(HclFile.parse("rsync.hcl", text));
+        var node = process.run("n0", new garnetreel.standin.node.NodeMachine(
+                garnetreel.standin.node.NodeSettings.free("n0", "127.0.0.1:0", "", 0), new garnetreel.standin.node.Disk(),
+                Trace.NONE, 1, 1));
+        var list = process.run("list", new garnetreel.standin.list.ListMachine("list", "127.0.0.1:0", java.util.List.of(
+                new garnetreel.codec.nodelist.ListMessage.Entry(Process.bound(node, "node"), "zone-a", 0,
+                        garnetreel.codec.nodelist.ListMessage.State.UP, 1, 0)), 0, Trace.NONE));
+        return Process.bound(process.head(settings.head(0, 1, "127.0.0.1:0", Process.bound(list, "list"), ""),
+                temp.resolve("state")), Head.RSYNC);
+    }
+
+    /** Says some bytes and reads to the end of the connection; what the head says is one character a byte. */
+    private static String ask(String address, byte[]... said) throws IOException {
+        InetSocketAddress at = garnetreel.net.Addresses.parse(address);
+        try (Socket socket = new Socket()) {
+            socket.connect(at);
+            socket.setSoTimeout(8_000); // a head that says nothing more fails the test
+            for (byte[] bytes : said) {
+                socket.getOutputStream().write(bytes);
+            }
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static byte[] words(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static byte[] push(String name) {
+        RsyncOut out = new RsyncOut();
+        ListCodec list = new ListCodec(new ListCodec.Form(true, false, false, false));
+        list.write(out, new FileItem(name, Rsync.REGULAR | 0644, 5, 1, "", null));
+        out.u8(0);
+        return out.takeFrame().array();
+    }
+
+    @Test
+    void handshakesThatCantBeAreAnsweredInWords() throws Exception {
+        String address = start("");
+        assertEquals("@RSYNCD: 30.0\npages          \tscans\n@RSYNCD: EXIT\n", ask(address, words("@RSYNCD: 31.0\n#list\n")));
+        assertTrue(ask(address, words("GET / HTTP/1.0\n")).endsWith("@ERROR: protocol startup error\n"));
+        assertTrue(ask(address, words("@RSYNCD: 29.0\n")).contains("@ERROR: protocol version 29 is not offered; 30 is"));
+        assertTrue(ask(address, words("@RSYNCD: 31.0\nnone\n")).contains("@ERROR: Unknown module 'none'"));
+        assertTrue(ask(address, words("x".repeat(5000))).contains("@ERROR: a line of more than"));
+        String z = ask(address, words("@RSYNCD: 31.0\npages\n--server\0-vlogDtprze.iLsfxC\0.\0pages/\0\0"));
+        assertTrue(z.contains("compression (-z) is not offered here"), z);
+        String up = ask(address, words("@RSYNCD: 31.0\npages\n--server\0--sender\0-ltpre.i\0.\0pages/../../etc\0\0"),
+                new RsyncOut().i32(0).takeFrame().array());
+        assertTrue(up.contains("leaves its module"), up);
+    }
+
+    @Test
+    void namesThatLeaveTheModuleEndThePush() throws Exception {
+        String address = start("");
+        for (String name : new String[] {"../up", "/etc/passwd", "a/../../b", "a//b", "./x", "a/./b"}) {
+            String said = ask(address, words("@RSYNCD: 31.0\npages\n--server\0-ltpre.iLsfxC\0.\0pages/\0\0"), push(name));
+            assertTrue(said.contains("unsafe pathname"), name + ": " + said);
+        }
+        String long_ = ask(address, words("@RSYNCD: 31.0\npages\n--server\0-ltpre.iLsfxC\0.\0pages/\0\0"),
+                push("n".repeat(4097)));
+        assertTrue(long_.contains("a name of 0 and 4097 bytes"), long_);
+    }
+
+    @Test
+    void readOnlyModulesTakeNoPush() throws Exception {
+        String address = start("  read_only = true\n");
+        assertTrue(ask(address, words("@RSYNCD: 31.0\npages\n--server\0-ltpre.i\0.\0pages/\0\0"))
+                .contains("module pages is read only"));
+    }
+
+    @Test
+    void secretsMustBePrivateAndAnswersRight() throws Exception {
+        Path secrets = Files.writeString(temp.resolve("secrets"), "# who may\nregistrar:pass word\n");
+        String setting = "  secrets = \"" + secrets + "\"\n";
+        Files.setPosixFilePermissions(secrets, PosixFilePermissions.fromString("rw-r--r--"));
+        assertTrue(assertThrows(SettingsException.class, () -> start(setting)).problems().get(0).contains("chmod 600"));
+        Files.setPosixFilePermissions(secrets, PosixFilePermissions.fromString("rw-------"));
+        String address = start(setting);
+        assertTrue(login(address, "registrar", "pass word").contains("@RSYNCD: OK"));
+        assertTrue(login(address, "registrar", "password").contains("@ERROR: auth failed on module pages"));
+        assertTrue(login(address, "nobody", "").contains("@ERROR: auth failed on module pages"));
+    }
+
+    private static String login(String address, String user, String password) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(garnetreel.net.Addresses.parse(address));
+            socket.setSoTimeout(8_000);
+            socket.getOutputStream().write(words("@RSYNCD: 31.0\npages\n"));
+            String greeting = line(socket);
+            String challenge = line(socket).substring("@RSYNCD: AUTHREQD ".length());
+            byte[] answer = Sums.md5().digest(words(password + challenge));
+            socket.getOutputStream().write(words(user + " " + Base64.getEncoder().withoutPadding().encodeToString(answer)
+                    + "\n"));
+            return greeting + line(socket);
+        }
+    }
+
+    private static String line(Socket socket) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        int one;
+        while ((one = socket.getInputStream().read()) > 0 && one != '\n') {
+            line.write(one);
+        }
+        return line.toString(StandardCharsets.ISO_8859_1);
+    }
+}
--- /dev/null
+++ b/codec/src/test/java/garnetreel/codec/RsyncTest.java
@@ -0,0 +1,247 @@
+package garnetreel.codec;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.codec.rsync.Delta;
+import garnetreel.codec.rsync.FileItem;
+import garnetreel.codec.rsync.Frames;
+import garnetreel.codec.rsync.ListCodec;
+import garnetreel.codec.rsync.Rsync;
+import garnetreel.codec.rsync.RsyncIn;
+import garnetreel.codec.rsync.RsyncOut;
+import garnetreel.codec.rsync.Sums;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class RsyncTest {
+    private static final int SEED = 0x12345;
+    private final SplittableRandom random = new SplittableRandom(11);
+
+    private static RsyncIn in(RsyncOut out) {
+        RsyncIn in = new RsyncIn();
+        ByteBuffer bytes = out.take();
+        if (bytes != null) {
+            in.add(bytes);
+        }
+        return in;
+    }
+
+    @Test
+    void numbersComeBackAndHaveTheirDocumentedForms() throws Exception {
+        assertArrayEquals(new byte[] {0x7f}, new RsyncOut().varint(0x7f).take().array());
+        assertArrayEquals(new byte[] {(byte) 0x80, (byte) 0x80}, new RsyncOut().varint(0x80).take().array());
+        assertArrayEquals(new byte[] {0, 0x10, 0x27}, new RsyncOut().varlong(10_000, 3).take().array());
+        for (int bits = 0; bits < 63; bits++) {
+            for (long value : new long[] {1L << bits, (1L << bits) - 1, random.nextLong(1L << bits, (1L << bits) * 2 - 1 + (bits == 0 ? 1 : 0))}) {
+                assertEquals(value, in(new RsyncOut().varlong(value, 3)).varlong(3), "bits " + bits);
+                assertEquals(value, in(new RsyncOut().varlong(value, 4)).varlong(4), "bits " + bits);
+                assertEquals((int) value, in(new RsyncOut().varint((int) value)).varint());
+            }
+        }
+        RsyncOut out = new RsyncOut();
+        int[] indexes = {0, 1, 254, 255, 600, 5, 40_000, Rsync.DONE, 40_001, 1 << 24, 3, Integer.MAX_VALUE - 1};
+        for (int index : indexes) {
+            out.index(index);
+        }
+        RsyncIn in = in(out);
+        for (int index : indexes) {
+            assertEquals(index, in.index());
+        }
+        String text = "x".repeat(300);
+        assertEquals(text, in(new RsyncOut().vstring(text)).vstring());
+    }
+
+    @Test
+    void listOrderPutsFilesBeforeDirectoriesAndContentsBehindThem() {
+        List<FileItem> expected = new ArrayList<>();
+        for (String name : List.of("./", "b", "b-c", "z", "a/", "a/x", "a/y", "a/k/", "a/k/1", "a-b/", "a-b/q", "b.d/", "c/",
+                "c/d/", "c/d/e")) {
+            boolean directory = name.endsWith("/");
+            expected.add(new FileItem(directory ? name.substring(0, name.length() - 1) : name,
+                    directory ? Rsync.DIRECTORY : Rsync.REGULAR, 0, 0, "", null));
+        }
+        // "a-b/" sorts before "a/" as bytes do: '-' is less than '/'.
+        expected.sort(FileItem.ORDER);
+        List<String> names = expected.stream().map(FileItem::name).toList();
+        assertEquals(List.of(".", "b", "b-c", "z", "a-b", "a-b/q", "a", "a/x", "a/y", "a/k", "a/k/1", "b.d", "c", "c/d",
+                "c/d/e"), names);
+        Random shuffle = new Random(3);
+        for (int i = 0; i < 50; i++) {
+            List<FileItem> again = new ArrayList<>(expected);
+            Collections.shuffle(again, shuffle);
+            again.sort(FileItem.ORDER);
+            assertEquals(names, again.stream().map(FileItem::name).toList());
+        }
+    }
+
+    @Test
+    void fileListsComeBackByteByByte() throws Exception {
+        ListCodec.Form form = new ListCodec.Form(true, true, true, true);
+        List<FileItem> items = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            int kind = i % 3;
+            String name = "dir/" + "\u00e9\n".repeat(i % 4) + "n".repeat(random.nextInt(1, 400)) + i;
+            items.add(new FileItem(name, kind == 0 ? Rsync.REGULAR | 0644 : kind == 1 ? Rsync.DIRECTORY | 0755
+                    : Rsync.SYMLINK | 0777, random.nextLong(1L << 40), random.nextInt(), kind == 2 ? "../x" : "",
+                    kind == 0 ? new byte[] {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, (byte) i} : null));
+        }
+        RsyncOut out = new RsyncOut();
+        ListCodec writer = new ListCodec(form);
+        items.forEach(i -> writer.write(out, i));
+        out.u8(0);
+        byte[] bytes = out.take().array();
+        RsyncIn in = new RsyncIn();
+        ListCodec reader = new ListCodec(form);
+        int read = 0;
+        for (byte one : bytes) {
+            in.add(ByteBuffer.wrap(new byte[] {one}));
+            in.mark();
+            try {
+                FileItem item = reader.read(in);
+                if (item != null) {
+                    FileItem expected = items.get(read++);
+                    assertEquals(expected.name(), item.name());
+                    assertEquals(List.of(expected.mode(), expected.size(), expected.modified() & 0xffffffffL, expected.target()),
+                            List.of(item.mode(), item.size(), item.modified() & 0xffffffffL, item.target()));
+                    assertTrue(Arrays.equals(expected.sum(), item.sum()));
+                }
+            } catch (RsyncIn.Short e) {
+                in.reset();
+            }
+        }
+        assertEquals(items.size(), read);
+        assertTrue(reader.ended());
+    }
+
+    /** Rebuilds what a receiver would from tokens. */
+    private static byte[] apply(RsyncIn in, byte[] basis, int block) throws Exception {
+        ByteArrayOutputStream made = new ByteArrayOutputStream();
+        int token;
+        while ((token = in.i32()) != 0) {
+            if (token > 0) {
+                made.writeBytes(in.take(token));
+            } else {
+                int from = -(token + 1) * block;
+                made.write(basis, from, Math.min(block, basis.length - from));
+            }
+        }
+        assertArrayEquals(Sums.md5().digest(made.toByteArray()), in.take(Rsync.STRONG));
+        return made.toByteArray();
+    }
+
+    private static Delta.Basis basis(byte[] old, int block, int strong) throws Exception {
+        int count = (old.length + block - 1) / block;
+        Delta.Basis basis = new Delta.Basis(count, block, strong, old.length % block);
+        MessageDigest md5 = Sums.md5();
+        RsyncOut out = new RsyncOut();
+        for (int i = 0; i < count; i++) {
+            int length = Math.min(block, old.length - i * block);
+            out.i32(Sums.rolling(old, i * block, length)).bytes(Sums.strong(md5, old, i * block, length, SEED), 0, strong);
+        }
+        RsyncIn in = in(out);
+        while (!basis.full()) {
+            basis.read(in);
+        }
+        return basis;
+    }
+
+    @Test
+    void deltasRebuildAnyContentsFromAnyBasisInAnyPieces() throws Exception {
+        for (int run = 0; run < 300; run++) {
+            byte[] old = new byte[random.nextInt(1, 20_000)];
+            random.nextBytes(old);
+            ByteArrayOutputStream changed = new ByteArrayOutputStream();
+            int kept = 0;
+            while (changed.size() < 20_000) {
+                if (random.nextBoolean()) {
+                    int from = random.nextInt(old.length);
+                    changed.write(old, from, random.nextInt(old.length - from + 1));
+                    kept++;
+                } else {
+                    byte[] fresh = new byte[random.nextInt(500)];
+                    random.nextBytes(fresh);
+                    changed.writeBytes(fresh);
+                }
+                if (kept > 4 && random.nextInt(4) == 0) {
+                    break;
+                }
+            }
+            byte[] now = run % 10 == 0 ? old : changed.toByteArray();
+            int block = random.nextInt(8, 900);
+            RsyncOut out = new RsyncOut();
+            Delta delta = new Delta(basis(old, block, 16), SEED, out);
+            for (int at = 0; at < now.length; ) {
+                int part = Math.min(now.length - at, random.nextInt(1, 3_000));
+                delta.add(now, at, part);
+                at += part;
+            }
+            delta.end();
+            long matched = delta.matched();
+            assertArrayEquals(now, apply(in(out), old, block));
+            assertTrue(run % 10 != 0 || matched == now.length, "an unchanged file has literals: " + matched + " of "
+                    + now.length);
+        }
+    }
+
+    @Test
+    void headersThatCantBeAreRefusedBeforeRoomIsTaken() {
+        int[][] heads = {{1 << 31, 700, 16, 0}, {Integer.MAX_VALUE, 700, 16, 0}, {5, 0, 16, 0}, {5, 700, 17, 0},
+            {5, 700, 16, 701}, {5, 700, 0, 0}, {5, 1 << 20, 16, 0}, {-1, 700, 16, 0}, {5, 700, 16, -1}};
+        for (int[] head : heads) {
+            assertThrows(ProtocolException.class, () -> new Delta.Basis(head[0], head[1], head[2], head[3]),
+                    Arrays.toString(head));
+        }
+    }
+
+    @Test
+    void framesComeApartByteByByteAndLargeMessagesAreRefused() throws Exception {
+        ByteBuffer data = RsyncOut.frame(Rsync.DATA, new byte[] {1, 2, 3}, 3);
+        ByteBuffer note = RsyncOut.frame(Rsync.INFO, new byte[] {'h', 'i'}, 2);
+        Frames frames = new Frames();
+        RsyncIn in = new RsyncIn();
+        List<String> said = new ArrayList<>();
+        for (ByteBuffer one : List.of(data, RsyncOut.frame(Rsync.DATA, new byte[0], 0), note, data.duplicate())) {
+            while (one.hasRemaining()) {
+                frames.add(ByteBuffer.wrap(new byte[] {one.get()}), in, (kind, body) -> said.add(kind + new String(body)));
+            }
+        }
+        assertEquals(6, in.size());
+        assertEquals(List.of(Rsync.INFO + "hi"), said);
+        ByteBuffer large = ByteBuffer.wrap(new byte[] {0, 0, 2, Rsync.INFO + 7});
+        assertThrows(ProtocolException.class, () -> new Frames().add(large, new RsyncIn(), (kind, body) -> { }));
+    }
+
+    /** Bytes by chance: each parser ends with a clear error or asks for more, in bounded room, and never otherwise. */
+    @Test
+    void bytesByChanceEndInAnErrorOrAskForMore() {
+        int errors = 0;
+        for (int run = 0; run < 20_000; run++) {
+            byte[] bytes = new byte[random.nextInt(1, 200)];
+            random.nextBytes(bytes);
+            RsyncIn in = new RsyncIn();
+            in.add(ByteBuffer.wrap(bytes));
+            ListCodec list = new ListCodec(new ListCodec.Form(run % 2 == 0, run % 3 == 0, run % 5 == 0, run % 7 == 0));
+            try {
+                while (list.read(in) != null) {
+                    in.mark();
+                }
+                new Frames().add(ByteBuffer.wrap(bytes), new RsyncIn(), (kind, body) -> { });
+                new Delta.Basis(in.i32(), in.i32(), in.i32(), in.i32());
+            } catch (RsyncIn.Short | ProtocolException e) {
+                errors++;
+            }
+        }
+        assertTrue(errors > 10_000);
+    }
+}
--- a/core/src/main/java/garnetreel/core/front/rsync/RsyncFront.java
+++ b/core/src/main/java/garnetreel/core/front/rsync/RsyncFront.java
@@ -15,6 +15,7 @@
 public final class RsyncFront extends Front<RsyncSession> {
     /** Tags of blocks of files, which no NBD client gives. */
     private static final long TAGS = 1L << 62;
+    private static final long LIVES = (1L << 28) - 1;
     /** Between two looks for connections on which nothing happens. */
     private static final long LOOK_EVERY = 1_000_000;
 
@@ -44,7 +45,8 @@
     }
 
     long nextTag() {
-        return TAGS | (long) settings.head() << 40 | ++tags;
+        // No other life of any head gives the same: its start in milliseconds leads.
+        return TAGS | ((settings.incarnation() >> 10) * 31 + settings.head() & LIVES) << 32 | ++tags & 0xffffffffL;
     }
 
     HeadSettings.Module module(String name) {
