A pull sends what is there when a file is asked for, not the version that was listed

Need: a file that was replaced between its listing and its request was read from room that another file may have by then; the checksum kept clients from taking it, but the pull failed twice and ended with code 23. Change: the entry is looked up at the request; one that is gone is told as vanished and NO_SEND, and the pull goes on. Measured: RsyncTest replaces one file and removes another between list and request; it fails with the old look-up planted back.

--- a/cli/src/test/java/garnetreel/cli/trial/RsyncTest.java
+++ b/cli/src/test/java/garnetreel/cli/trial/RsyncTest.java
@@ -197,6 +197,69 @@
         }
     }
 
+    /** Pushes one file whole, and waits for the goodbye. */
+    private static void put(String address, String name, byte[] contents, boolean delete) throws Exception {
+        RsyncOut out = new RsyncOut();
+        if (delete) {
+            out.i32(0);
+        }
+        ListCodec list = new ListCodec(new ListCodec.Form(true, false, false, false));
+        list.write(out, new FileItem(".", Rsync.DIRECTORY | 0755, 0, 1, "", null));
+        list.write(out, new FileItem(name, Rsync.REGULAR | 0644, contents.length, contents[0], "", null));
+        out.u8(0).index(1).u16(Rsync.ITEM_TRANSFER).i32(0).i32(0).i32(0).i32(0).i32(contents.length).bytes(contents).i32(0)
+                .bytes(Sums.md5().digest(contents)).index(Rsync.DONE).index(Rsync.DONE).index(Rsync.DONE);
+        byte[] frame = out.takeFrame().array();
+        try (Socket socket = new Socket()) {
+            socket.connect(garnetreel.net.Addresses.parse(address));
+            socket.setSoTimeout(8_000);
+            socket.getOutputStream().write(words("@RSYNCD: 31.0\npages\n--server\0-ltpWre.i\0" + (delete ? "--delete\0" : "")
+                    + ".\0pages/\0\0"));
+            // Contents may not come before they are asked for: the list first, then after the request the rest.
+            int listed = frame.length - (4 * 5 + contents.length + 4 + 16 + 3 + 2 + 1);
+            socket.getOutputStream().write(frame, 0, listed);
+            socket.getOutputStream().flush();
+            for (int zeros = 0; zeros < 16; ) { // the request ends with a head of zeros
+                zeros = socket.getInputStream().read() == 0 ? zeros + 1 : 0;
+            }
+            socket.getOutputStream().write(frame, listed, frame.length - listed);
+            socket.getInputStream().readAllBytes();
+        }
+    }
+
+    /** A pull that has its list while pushes replace one of its files and take another away. */
+    @Test
+    void pullWhoseFilesChangeAfterTheListGetsWhatIsThereThen() throws Exception {
+        String address = start("");
+        byte[] old = "old contents".getBytes(StandardCharsets.US_ASCII);
+        byte[] now = "NEW CONTENTS, LONGER".getBytes(StandardCharsets.US_ASCII);
+        put(address, "changed", old, false);
+        put(address, "gone", old, false);
+        try (Socket socket = new Socket()) {
+            socket.connect(garnetreel.net.Addresses.parse(address));
+            socket.setSoTimeout(8_000);
+            socket.getOutputStream().write(words("@RSYNCD: 31.0\npages\n--server\0--sender\0-ltpre.i\0.\0pages/\0\0"));
+            socket.getOutputStream().write(new RsyncOut().i32(0).takeFrame().array());
+            ByteArrayOutputStream said = new ByteArrayOutputStream();
+            while (!said.toString(StandardCharsets.ISO_8859_1).contains("gone")) {
+                said.write(socket.getInputStream().read());
+            }
+            put(address, "changed", now, true); // takes "gone" away
+            put(address, "another", old, false); // which may be given the room that was "changed"'s
+            RsyncOut asks = new RsyncOut();
+            for (int index = 1; index <= 2; index++) {
+                asks.index(index).u16(Rsync.ITEM_TRANSFER).i32(0).i32(0).i32(0).i32(0);
+            }
+            asks.index(Rsync.DONE).index(Rsync.DONE).index(Rsync.DONE).index(Rsync.DONE);
+            socket.getOutputStream().write(asks.takeFrame().array());
+            said.writeBytes(socket.getInputStream().readAllBytes());
+            String text = said.toString(StandardCharsets.ISO_8859_1);
+            assertTrue(text.contains("NEW CONTENTS, LONGER"), text);
+            assertTrue(!text.contains("old contents"), text);
+            assertTrue(text.contains(new String(Sums.md5().digest(now), StandardCharsets.ISO_8859_1)), "checksum is spoiled");
+            assertTrue(text.contains("file has vanished: \"/gone\""), text);
+        }
+    }
+
     private static String line(Socket socket) throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         int one;
--- a/core/src/main/java/garnetreel/core/front/rsync/Sender.java
+++ b/core/src/main/java/garnetreel/core/front/rsync/Sender.java
@@ -250,7 +250,18 @@
             session.in.mark();
             basis.read(session.in);
         }
-        sending = entries.get(index);
+        // Guards against a file that was replaced since it was listed: the room of that version may be another file's by
+        // now. What is there at this moment is sent, as by a sender whose files change under it.
+        FileEntry listedAs = entries.get(index);
+        FileEntry current = session.front.files.catalogue().get(module.name(), listedAs.path());
+        if (current == null || !current.regular()) {
+            session.tell(Rsync.WARNING, "file has vanished: \"/" + Names.printable(listedAs.path()) + "\" (in "
+                    + module.name() + ")\n");
+            session.tell(Rsync.NO_SEND, index);
+            state = State.REQUESTS;
+            return true;
+        }
+        sending = current;
         session.front.files.catalogue().open(sending);
         item();
         basis.writeHead(session.out);
