rsync sessions go on in small steps: a list of 200,000 names no longer holds up the head

Need: such a list was made, or put in order, in one turn of 0.2 to 0.6 s, and NBD clients of that head waited so long. Change: 32 steps a session and turn, the rest in a turn of its own; a pull walks the catalogue in steps, a push puts names in order as they come; the store is looked at for directories and links alone.

--- a/core/src/main/java/garnetreel/core/front/rsync/Receiver.java
+++ b/core/src/main/java/garnetreel/core/front/rsync/Receiver.java
@@ -12,11 +12,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * A push: takes the client's list, asks for what differs from what the module has, and makes each file visible whole once
@@ -31,6 +33,9 @@
 
     private enum State { FILTERS, LIST, USERS, GROUPS, ITEMS, HEAD, CONTENTS, GOODBYE }
 
+    /** A name and when it came: one that is listed twice keeps two places, as the client counts them. */
+    private record Listed(FileItem item, int number) { }
+
     /** A file that was asked for. */
     private record Wanted(int index, FileEntry basis, boolean again) { }
 
@@ -41,7 +46,10 @@
     private final Catalogue catalogue;
     private final Filters filters = new Filters();
     private final ListCodec list;
-    private List<FileItem> items = new ArrayList<>();
+    /** The list while it comes: put in order name by name, as to sort a long one at its end would hold up the head. */
+    private final TreeSet<Listed> sorted = new TreeSet<>(Comparator.comparing(Listed::item, FileItem.ORDER)
+            .thenComparingInt(Listed::number));
+    private final List<FileItem> items = new ArrayList<>();
     private String directory = "";
     private String single;
     private State state;
@@ -120,10 +128,10 @@
             return true;
         }
         Names.check(item.name());
-        if (items.size() >= LIST_MOST) {
+        if (sorted.size() >= LIST_MOST) {
             throw new ProtocolException("a list of more than " + LIST_MOST + " files");
         }
-        items.add(item);
+        sorted.add(new Listed(item, sorted.size()));
         return true;
     }
 
@@ -146,7 +154,8 @@
     }
 
     private void listed() throws ProtocolException {
-        items.sort(FileItem.ORDER);
+        sorted.forEach(l -> items.add(l.item()));
+        sorted.clear();
         FileEntry destination = directory.isEmpty() ? null : catalogue.get(module.name(), directory);
         boolean one = items.size() == 1 && !items.get(0).directory();
         if (destination != null && !destination.directory() && !one) {
@@ -176,8 +185,8 @@
             if (options.dryRun || path.isEmpty()) {
                 continue;
             }
-            FileEntry old = catalogue.get(module.name(), path);
             if (item.directory() || item.symlink()) {
+                FileEntry old = catalogue.get(module.name(), path);
                 if (options.existing && old == null) {
                     continue;
                 }
--- a/core/src/main/java/garnetreel/core/front/rsync/RsyncSession.java
+++ b/core/src/main/java/garnetreel/core/front/rsync/RsyncSession.java
@@ -27,6 +27,8 @@
     /** Bytes written that have not left, and bytes come that are not handled, past which no more are made or read. */
     static final int OUT_MOST = 1 << 20;
     private static final int IN_MOST = 1 << 20;
+    /** Steps of a session in one turn; each handles a message, a block, or some hundred names. */
+    private static final int STEPS_A_TURN = 32;
     /** Nothing from a peer for so long ends its connection; in the middle a peer may be busy with its own disk. */
     private static final long SILENCE = 600_000_000;
     /** Nothing told to a peer for so long sends it a sign of life, as while a refused block is waited out. */
@@ -50,6 +52,8 @@
     private boolean reading = true;
     private boolean pumping;
     private boolean again;
+    private int steps;
+    private boolean resting;
     private long outbound;
     private long inbound;
     private long heardBytes;
@@ -260,12 +264,18 @@
             return;
         }
         pumping = true;
+        steps = resting ? steps : 0;
         try {
             do {
                 again = false;
                 boolean more = true;
-                while (more && phase != Phase.ENDED && phase != Phase.CLOSING) {
+                while (more && phase != Phase.ENDED && phase != Phase.CLOSING && steps < STEPS_A_TURN) {
                     more = step();
+                    steps++;
+                }
+                if (more && steps >= STEPS_A_TURN) {
+                    rest();
+                    break;
                 }
             } while (again);
         } catch (ProtocolException e) {
@@ -285,6 +295,23 @@
         }
     }
 
+    /**
+     * Guards the head's other clients against one with very much at hand, such as a list of 200,000 names, which held them
+     * up for half a second: it goes on in a turn of its own. It costs that client a turn for each few steps.
+     */
+    private void rest() {
+        if (!resting) {
+            resting = true;
+            front.later(1, () -> {
+                resting = false;
+                steps = 0;
+                if (phase != Phase.ENDED) {
+                    pump();
+                }
+            });
+        }
+    }
+
     private boolean step() throws ProtocolException {
         return switch (phase) {
             case GREETING -> greeting();
--- a/core/src/main/java/garnetreel/core/front/rsync/Sender.java
+++ b/core/src/main/java/garnetreel/core/front/rsync/Sender.java
@@ -8,6 +8,7 @@
 import garnetreel.codec.rsync.RsyncIn;
 import garnetreel.core.HeadSettings;
 import garnetreel.core.Volume;
+import garnetreel.files.Catalogue;
 import garnetreel.files.FileEntry;
 import garnetreel.files.FileEntry.Piece;
 import java.util.ArrayDeque;
@@ -15,6 +16,7 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 
@@ -26,7 +28,10 @@
     private static final int LAST_PHASE = 2;
     private static final int ENTRIES_A_STEP = 256;
 
-    private enum State { FILTERS, LIST, REQUESTS, HEAD, SUMS, SENDING, GOODBYE }
+    private enum State { FILTERS, COLLECT, LIST, REQUESTS, HEAD, SUMS, SENDING, GOODBYE }
+
+    /** A directory whose names are being listed, and directories in it that a filter hides. */
+    private record Walk(String path, String root, Iterator<FileEntry> entries, Set<String> hidden) { }
 
     private final RsyncSession session;
     private final HeadSettings.Module module;
@@ -37,6 +42,10 @@
     private final ListCodec list;
     private final List<FileItem> items = new ArrayList<>();
     private final List<FileEntry> entries = new ArrayList<>();
+    private final ArrayDeque<Walk> walks = new ArrayDeque<>();
+    private final List<FileItem> found = new ArrayList<>();
+    private final List<FileEntry> from = new ArrayList<>();
+    private final Set<String> names = new HashSet<>();
     private State state = State.FILTERS;
     private int listed;
     private int phase;
@@ -69,6 +78,7 @@
         try {
             return switch (state) {
                 case FILTERS -> filter();
+                case COLLECT -> walk();
                 case LIST -> list();
                 case REQUESTS -> request();
                 case HEAD -> head();
@@ -94,14 +104,12 @@
             return true;
         }
         collect();
-        state = State.LIST;
+        state = State.COLLECT;
         return true;
     }
 
+    /** Looks up what was asked for; what directories hold follows in steps. */
     private void collect() throws ProtocolException {
-        List<FileItem> found = new ArrayList<>();
-        List<FileEntry> from = new ArrayList<>();
-        Set<String> names = new HashSet<>();
         for (String word : options.paths) {
             String path = Names.argument(module.name(), word);
             FileEntry entry = path.isEmpty() ? FileEntry.directory(module.name(), "", 0755, 0)
@@ -115,18 +123,32 @@
             boolean contents = path.isEmpty() || word.endsWith("/") || word.endsWith("/.");
             String root = contents ? path : Names.parent(path);
             if (!entry.directory()) {
-                add(found, from, names, entry, Names.last(path));
+                add(entry, Names.last(path));
                 continue;
             }
             if (!options.recursive && !options.dirs) {
                 session.tell(Rsync.INFO, "skipping directory " + (path.isEmpty() ? "." : Names.printable(path)) + "\n");
                 continue;
             }
-            add(found, from, names, entry, contents ? "." : Names.last(path));
+            add(entry, contents ? "." : Names.last(path));
             if (options.recursive || contents) {
-                below(found, from, names, path, root);
+                walks.add(new Walk(path, root, catalogue().below(module.name(), path).iterator(), new HashSet<>()));
             }
         }
+    }
+
+    /** Some names of the directories that were asked for; when there are none left, the order of the list. */
+    private boolean walk() {
+        if (!walks.isEmpty()) {
+            Walk walk = walks.peek();
+            for (int left = ENTRIES_A_STEP; left > 0 && walk.entries().hasNext(); left--) {
+                below(walk, walk.entries().next());
+            }
+            if (!walk.entries().hasNext()) {
+                walks.poll();
+            }
+            return true;
+        }
         List<Integer> order = new ArrayList<>();
         for (int i = 0; i < found.size(); i++) {
             order.add(i);
@@ -136,28 +158,33 @@
             items.add(found.get(at));
             entries.add(from.get(at));
         }
+        found.clear();
+        from.clear();
+        names.clear();
+        state = State.LIST;
+        return true;
     }
 
-    private void below(List<FileItem> found, List<FileEntry> from, Set<String> names, String path, String root) {
-        Set<String> hidden = new HashSet<>();
-        for (FileEntry entry : session.front.files.catalogue().below(module.name(), path)) {
-            String name = root.isEmpty() ? entry.path() : entry.path().substring(root.length() + 1);
-            boolean child = Names.parent(entry.path()).equals(path);
-            if (!options.recursive && !child) {
-                continue;
-            }
-            // What a hidden directory holds is hidden with it; the catalogue gives a directory before what it holds.
-            if (hidden.contains(Names.parent(name)) || filters.hides(name, entry.directory())) {
-                if (entry.directory()) {
-                    hidden.add(name);
-                }
-                continue;
+    private void below(Walk walk, FileEntry entry) {
+        String name = walk.root().isEmpty() ? entry.path() : entry.path().substring(walk.root().length() + 1);
+        if (!options.recursive && !Names.parent(entry.path()).equals(walk.path())) {
+            return;
+        }
+        // What a hidden directory holds is hidden with it; the catalogue gives a directory before what it holds.
+        if (walk.hidden().contains(Names.parent(name)) || filters.hides(name, entry.directory())) {
+            if (entry.directory()) {
+                walk.hidden().add(name);
             }
-            add(found, from, names, entry, name);
+            return;
         }
+        add(entry, name);
+    }
+
+    private Catalogue catalogue() {
+        return session.front.files.catalogue();
     }
 
-    private void add(List<FileItem> found, List<FileEntry> from, Set<String> names, FileEntry entry, String name) {
+    private void add(FileEntry entry, String name) {
         boolean link = !entry.directory() && !entry.regular();
         if (link && !options.links || !names.add(name)) {
             return;
