--- a/core/src/main/java/garnetreel/core/front/Front.java
+++ b/core/src/main/java/garnetreel/core/front/Front.java
@@ -19,28 +19,32 @@
     private static final int TURNED_AWAY_MOST = 16;
 
     /** One connection. */
-    public interface Session extends Room.Waiter {
-        long conn();
-
+    public abstract static class Session implements Room.Waiter {
+        protected final long conn;
         /** Beyond the table: it is only told so. */
-        boolean turnedAway();
+        protected final boolean turnedAway;
+        final long handshakeUntil;
 
-        long handshakeUntil();
+        protected Session(long conn, boolean turnedAway, long handshakeUntil) {
+            this.conn = conn;
+            this.turnedAway = turnedAway;
+            this.handshakeUntil = handshakeUntil;
+        }
 
-        void greet();
+        public abstract void greet();
 
-        void received(ByteBuffer data);
+        public abstract void received(ByteBuffer data);
 
-        void drained(int bytes);
+        public abstract void drained(int bytes);
 
         /** The peer is gone: nothing is owed any more. */
-        void gone();
+        public abstract void gone();
 
         /** Takes nothing more, and ends once the last answer is written. */
-        void closeWhenQuiet();
+        public abstract void closeWhenQuiet();
 
         /** Ends the connection from this side. */
-        void end(boolean abort);
+        public abstract void end(boolean abort);
     }
 
     protected final HeadSettings settings;
@@ -127,10 +131,10 @@
 
     /** A session has ended, by either side. */
     public final void ended(S session) {
-        sessions.remove(session.conn());
+        sessions.remove(session.conn);
         greeting.remove(session);
         room.leave(session);
-        if (session.turnedAway()) {
+        if (session.turnedAway) {
             turnedAway--;
         }
     }
@@ -142,12 +146,12 @@
     }
 
     public long wakeAt() {
-        return greeting.isEmpty() ? Long.MAX_VALUE : greeting.iterator().next().handshakeUntil();
+        return greeting.isEmpty() ? Long.MAX_VALUE : greeting.iterator().next().handshakeUntil;
     }
 
     /** Closes connections whose handshake takes too long, as they hold places in the table for nothing. */
     public void expire() {
-        while (!greeting.isEmpty() && now >= greeting.iterator().next().handshakeUntil()) {
+        while (!greeting.isEmpty() && now >= greeting.iterator().next().handshakeUntil) {
             greeting.iterator().next().end(true);
         }
     }
--- a/core/src/main/java/garnetreel/core/front/NbdSession.java
+++ b/core/src/main/java/garnetreel/core/front/NbdSession.java
@@ -19,7 +19,7 @@
  * One NBD connection, from the greeting to its end. Reads the specification's way: an option or request that is wrong
  * in itself gets an error and the connection goes on; a stream that can't be followed any more is closed.
  */
-final class NbdSession implements Front.Session {
+final class NbdSession extends Front.Session {
     /** More options than a client that asks about every export would send; then the connection is closed. */
     private static final int OPTIONS_MOST = 2048;
     /** What a request without payload counts for against the bytes bound. */
@@ -27,9 +27,6 @@
 
     private enum Phase { HANDSHAKE, REQUEST, PAYLOAD, CLOSING, ENDED }
 
-    private final long conn;
-    private final boolean turnedAway;
-    private final long handshakeUntil;
     private final NbdFront front;
     private final HeadSettings.Bounds bounds;
     private final ByteQueue in = new ByteQueue();
@@ -50,29 +47,12 @@
     private long outbound;
 
     NbdSession(NbdFront front, long conn, boolean turnedAway, long handshakeUntil) {
+        super(conn, turnedAway, handshakeUntil);
         this.front = front;
         this.bounds = front.settings().bounds();
-        this.conn = conn;
-        this.turnedAway = turnedAway;
-        this.handshakeUntil = handshakeUntil;
         this.options = new OptionHandler(front, this);
     }
 
-    @Override
-    public long conn() {
-        return conn;
-    }
-
-    @Override
-    public boolean turnedAway() {
-        return turnedAway;
-    }
-
-    @Override
-    public long handshakeUntil() {
-        return handshakeUntil;
-    }
-
     @Override
     public void greet() {
         write(NbdWriter.greeting());
--- a/core/src/main/java/garnetreel/core/front/OptionHandler.java
+++ b/core/src/main/java/garnetreel/core/front/OptionHandler.java
@@ -50,10 +50,10 @@
             session.end(false);
             return;
         }
-        if (session.turnedAway() || front.draining()) {
+        if (session.turnedAway || front.draining()) {
             if (code == Nbd.OPT_EXPORT_NAME) {
                 session.end(false);
-            } else if (session.turnedAway()) {
+            } else if (session.turnedAway) {
                 error(code, Nbd.REP_ERR_POLICY, "this head serves " + front.settings().bounds().connections()
                         + " connections, its most; try again later or another head");
             } else {
--- a/core/src/main/java/garnetreel/core/front/rsync/RsyncSession.java
+++ b/core/src/main/java/garnetreel/core/front/rsync/RsyncSession.java
@@ -20,7 +20,7 @@
  * One rsync connection in daemon mode: greeting, module, perhaps a challenge, arguments, then a {@link Transfer}. Bytes
  * that can't be followed end it with a message; a file that can't be read or kept does not.
  */
-final class RsyncSession implements Front.Session {
+final class RsyncSession extends Front.Session {
     private static final int LINE_MOST = 1024;
     private static final int ARGUMENT_MOST = 8 << 10;
     private static final int ARGUMENTS_MOST = 1_000;
@@ -40,9 +40,6 @@
     final RsyncIn in = new RsyncIn();
     final RsyncOut out = new RsyncOut();
     final Blocks blocks;
-    private final long conn;
-    private final boolean turnedAway;
-    private final long handshakeUntil;
     private final Frames frames = new Frames();
     private final List<String> arguments = new ArrayList<>();
     private Phase phase = Phase.GREETING;
@@ -63,30 +60,13 @@
     private boolean peerFailed;
 
     RsyncSession(RsyncFront front, long conn, boolean turnedAway, long handshakeUntil) {
+        super(conn, turnedAway, handshakeUntil);
         this.front = front;
-        this.conn = conn;
-        this.turnedAway = turnedAway;
-        this.handshakeUntil = handshakeUntil;
         this.blocks = new Blocks(front);
         heardAt = front.time();
         toldAt = front.time();
     }
 
-    @Override
-    public long conn() {
-        return conn;
-    }
-
-    @Override
-    public boolean turnedAway() {
-        return turnedAway;
-    }
-
-    @Override
-    public long handshakeUntil() {
-        return handshakeUntil;
-    }
-
     @Override
     public void greet() {
         if (turnedAway) {
