--- a/cli/src/main/java/garnetreel/cli/Main.java
+++ b/cli/src/main/java/garnetreel/cli/Main.java
@@ -11,7 +11,7 @@
 /** The command line. Exit codes: 0 fine, 1 failed or a rule broken, 2 wrong usage or settings. */
 @Command(name = "garnetreel", mixinStandardHelpOptions = true, version = "garnetreel 0.2.0",
         description = "A storage gateway that schedules a host's reads and writes over storage nodes.",
-        subcommands = {ServeCommand.class, MapdCommand.class, MapCommand.class, FilesCommand.class, CheckConfigCommand.class,
+        subcommands = {ServeCommand.class, PlatformCommand.class, MapdCommand.class, MapCommand.class, FilesCommand.class, CheckConfigCommand.class,
             CommandLine.HelpCommand.class})
 public final class Main {
     public static final int FINE = 0;
--- a/cli/src/test/java/garnetreel/cli/LayoutTest.java
+++ b/cli/src/test/java/garnetreel/cli/LayoutTest.java
@@ -13,16 +13,17 @@
 class LayoutTest {
     private static final Map<String, List<String>> MAY_USE = Map.ofEntries(
             Map.entry("policy", List.of()),
+            Map.entry("settings", List.of("policy")),
             Map.entry("codec", List.of()),
             Map.entry("store", List.of()),
             Map.entry("map", List.of("codec")),
             Map.entry("files", List.of()),
-            Map.entry("core", List.of("policy", "codec", "map", "files")),
+            Map.entry("core", List.of("policy", "settings", "codec", "map", "files")),
             Map.entry("mapd", List.of("policy", "codec", "map", "core")),
             Map.entry("net", List.of("core", "store")),
             Map.entry("standin", List.of("policy", "codec", "map", "core", "mapd")),
             Map.entry("emulator", List.of("core", "standin")),
-            Map.entry("cli", List.of("policy", "codec", "map", "files", "mapd", "core", "store", "net", "standin", "emulator")));
+            Map.entry("cli", List.of("policy", "settings", "codec", "map", "files", "mapd", "core", "store", "net", "standin", "emulator")));
 
     private final JavaClasses classes = new ClassFileImporter().withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
             .importPackages("garnetreel");
@@ -47,7 +48,7 @@
 
     @Test
     void whatDecidesHasNoClockThreadOrInputOutput() {
-        for (String module : List.of("policy", "codec", "map", "files", "core", "mapd", "emulator")) {
+        for (String module : List.of("policy", "settings", "codec", "map", "files", "core", "mapd", "emulator")) {
             noClasses().that().resideInAPackage("garnetreel." + module + "..").should().dependOnClassesThat()
                     .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
                             "java.time..", "org.xnio..", "org.slf4j..").check(classes);
--- /dev/null
+++ b/codec/src/main/java/garnetreel/codec/http/BodyReader.java
@@ -0,0 +1,121 @@
+package garnetreel.codec.http;
+
+import garnetreel.codec.ProtocolException;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+
+/**
+ * Reads one body, of a stated length or in chunks. One that only the connection's end would end is not accepted, as it
+ * can't be told from one that was cut short. What it holds is bounded.
+ */
+final class BodyReader {
+    /** A chunk's size line or a trailer line; sizes have at most 8 digits, and nobody here sends extensions. */
+    private static final int LINE_MOST = 256;
+    private static final int TRAILERS_MOST = 16;
+    private static final int SIZE_DIGITS = 8;
+
+    private enum State { DATA, CHUNK_LINE, CHUNK_DATA, CHUNK_END, TRAILERS, DONE }
+
+    private final int most;
+    private final StringBuilder line = new StringBuilder();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(64);
+    private State state;
+    private long left;
+    private int trailers;
+
+    private BodyReader(State state, long left, int most) throws ProtocolException {
+        if (state == State.DATA && left > most) {
+            throw new ProtocolException("body of " + left + " bytes, " + most + " at most");
+        }
+        this.state = state == State.DATA && left == 0 ? State.DONE : state;
+        this.left = left;
+        this.most = most;
+    }
+
+    static BodyReader sized(long length, int most) throws ProtocolException {
+        return new BodyReader(State.DATA, length, most);
+    }
+
+    static BodyReader chunked(int most) throws ProtocolException {
+        return new BodyReader(State.CHUNK_LINE, 0, most);
+    }
+
+    /** Takes what belongs to the body; true once it is whole. */
+    boolean read(ByteBuffer in) throws ProtocolException {
+        while (state != State.DONE && in.hasRemaining()) {
+            switch (state) {
+                case DATA, CHUNK_DATA -> {
+                    left -= data(in, left);
+                    if (left == 0) {
+                        state = state == State.DATA ? State.DONE : State.CHUNK_END;
+                    }
+                }
+                default -> {
+                    if (lineEnded(in)) {
+                        line(line.toString());
+                        line.setLength(0);
+                    }
+                }
+            }
+        }
+        return state == State.DONE;
+    }
+
+    private long data(ByteBuffer in, long wanted) throws ProtocolException {
+        byte[] bytes = new byte[(int) Math.min(in.remaining(), wanted)];
+        if (body.size() + bytes.length > most) {
+            throw new ProtocolException("body of more than " + most + " bytes");
+        }
+        in.get(bytes);
+        body.write(bytes, 0, bytes.length);
+        return bytes.length;
+    }
+
+    private boolean lineEnded(ByteBuffer in) throws ProtocolException {
+        while (in.hasRemaining()) {
+            char one = (char) (in.get() & 0xff);
+            boolean afterReturn = line.length() > 0 && line.charAt(line.length() - 1) == '\r';
+            if (afterReturn != (one == '\n') || line.length() == LINE_MOST) {
+                throw new ProtocolException("line of a chunked body that does not end with CRLF");
+            }
+            if (one == '\n') {
+                line.setLength(line.length() - 1);
+                return true;
+            }
+            line.append(one);
+        }
+        return false;
+    }
+
+    private void line(String text) throws ProtocolException {
+        if (state == State.CHUNK_END) {
+            if (!text.isEmpty()) {
+                throw new ProtocolException("chunk longer than its size");
+            }
+            state = State.CHUNK_LINE;
+        } else if (state == State.CHUNK_LINE) {
+            int semicolon = text.indexOf(';');
+            left = size((semicolon < 0 ? text : text.substring(0, semicolon)).strip());
+            state = left == 0 ? State.TRAILERS : State.CHUNK_DATA;
+        } else if (text.isEmpty()) {
+            state = State.DONE;
+        } else if (++trailers > TRAILERS_MOST) {
+            throw new ProtocolException("more than " + TRAILERS_MOST + " trailers");
+        }
+    }
+
+    private static long size(String digits) throws ProtocolException {
+        if (digits.isEmpty() || digits.length() > SIZE_DIGITS
+                || !digits.chars().allMatch(c -> Character.digit(c, 16) >= 0 && c < 0x80)) {
+            throw new ProtocolException("chunk size that is none");
+        }
+        return Long.parseLong(digits, 16);
+    }
+
+    /** What has come and was not taken yet. */
+    byte[] take() {
+        byte[] bytes = body.toByteArray();
+        body.reset();
+        return bytes;
+    }
+}
--- /dev/null
+++ b/codec/src/main/java/garnetreel/codec/http/HttpRequest.java
@@ -0,0 +1,10 @@
+package garnetreel.codec.http;
+
+/** A whole request. */
+public record HttpRequest(String method, String target, Fields fields, byte[] body) {
+    /** The path without its query. */
+    public String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/platform/Facts.java
@@ -0,0 +1,52 @@
+package garnetreel.core.platform;
+
+import garnetreel.codec.ProtocolException;
+
+/**
+ * What a client says of the data it asks for.
+ *
+ * @param volume 16 hexadecimal digits
+ * @param shard the shard that holds the data; -1 for a new object
+ * @param hosts heads that requests of the volume come through; 0 when not told
+ */
+record Facts(String volume, int units, int shard, int hosts) {
+    private static final int HEX_DIGITS = 16;
+    private static final String WHOLE = "[0-9]{1,6}";
+
+    /** Reads {@code volume=16hex,units=2,shard=5,hosts=3}; names that are not known are passed over. */
+    static Facts read(String text) throws ProtocolException {
+        if (text == null) {
+            throw new ProtocolException(Headers.FACTS + " is missing");
+        }
+        String volume = null;
+        int units = 0;
+        int shard = -1;
+        int hosts = 0;
+        for (String part : text.split(",", -1)) {
+            int equals = part.indexOf('=');
+            String value = part.substring(equals + 1).strip();
+            switch (equals < 0 ? "" : part.substring(0, equals).strip()) {
+                case "volume" -> volume = value;
+                case "units" -> units = whole(value);
+                case "shard" -> shard = value.equals("-1") ? -1 : whole(value);
+                case "hosts" -> hosts = whole(value);
+                default -> { }
+            }
+        }
+        if (volume == null || !hex(volume) || units == 0) {
+            throw new ProtocolException(Headers.FACTS + " lacks a volume or units");
+        }
+        return new Facts(volume, units, shard, hosts);
+    }
+
+    private static int whole(String text) throws ProtocolException {
+        if (!text.matches(WHOLE)) {
+            throw new ProtocolException(Headers.FACTS + " holds \"" + text + "\" for a number");
+        }
+        return Integer.parseInt(text);
+    }
+
+    static boolean hex(String text) {
+        return text.length() == HEX_DIGITS && text.chars().allMatch(c -> Character.digit(c, 16) >= 0 && c < 0x80);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/platform/PlatformHead.java
@@ -0,0 +1,242 @@
+package garnetreel.core.platform;
+
+import garnetreel.codec.http.HttpRequest;
+import garnetreel.codec.http.HttpResponse;
+import garnetreel.codec.http.HttpWriter;
+import garnetreel.core.io.Machine;
+import garnetreel.core.io.NetAction;
+import garnetreel.core.io.NetAction.Level;
+import garnetreel.core.io.NetEvent;
+import garnetreel.core.link.ConnectionNumbers;
+import garnetreel.policy.Scheduler;
+import garnetreel.policy.Scheduler.Action;
+import garnetreel.policy.Scheduler.Alarm;
+import garnetreel.policy.Scheduler.Cancel;
+import garnetreel.policy.Scheduler.Check;
+import garnetreel.policy.Scheduler.Checked;
+import garnetreel.policy.Scheduler.CloseIdle;
+import garnetreel.policy.Scheduler.Event;
+import garnetreel.policy.Scheduler.Fail;
+import garnetreel.policy.Scheduler.FetchList;
+import garnetreel.policy.Scheduler.Outcome;
+import garnetreel.policy.Scheduler.Refuse;
+import garnetreel.policy.Scheduler.Remark;
+import garnetreel.policy.Scheduler.Send;
+import garnetreel.policy.Scheduler.SetAlarm;
+import garnetreel.policy.Scheduler.Watch;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/** A head on the users' platform: HTTP/1.1 to clients, shelves and discovery. What to do is the scheduler's; this does it. */
+public final class PlatformHead implements Machine {
+    /** Name of the listener for clients. */
+    public static final String HTTP = "http";
+    /** After an order to end, new connections keep coming for at most 0.4 s; they are taken for this long. */
+    private static final long ACCEPT_ON = 500_000;
+    private static final byte[] NOTHING = {};
+
+    /** Order: end the work, answer what was taken, and stop. */
+    public record Drain() implements NetEvent.Order { }
+
+    /** Order: a new configuration; of it the address of discovery is taken over. */
+    public record Reconfigure(PlatformSettings settings) implements NetEvent.Order { }
+
+    private record Due(long at, long order, String name) { }
+
+    private final PlatformSettings settings;
+    private final Scheduler scheduler;
+    private final ClientFront front;
+    private final ShelfLinks shelves;
+    private final DiscoveryLink discovery;
+    private final RequestTable table;
+    private final PriorityQueue<Due> alarms = new PriorityQueue<>(
+            Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private List<Event> events = new ArrayList<>();
+    private long alarmCount;
+    private long now;
+    private long stopAcceptingAt = Long.MAX_VALUE;
+    private boolean begun;
+    private boolean draining;
+    private boolean stopped;
+
+    public PlatformHead(PlatformSettings settings, Scheduler scheduler) {
+        this.settings = settings;
+        this.scheduler = scheduler;
+        Bounds bounds = Bounds.of(settings.limits());
+        ConnectionNumbers numbers = new ConnectionNumbers();
+        front = new ClientFront(bounds, new ClientFront.Listener() {
+            @Override
+            public void request(long conn, HttpRequest request) {
+                requested(conn, request);
+            }
+
+            @Override
+            public void left(long conn) {
+                table.left(conn);
+            }
+        });
+        shelves = new ShelfLinks(settings, bounds, numbers, new ShelfLinks.Listener() {
+            @Override
+            public void ended(Attempt attempt, Outcome outcome, HttpResponse answer) {
+                table.ended(attempt, outcome, answer);
+            }
+
+            @Override
+            public void checked(Checked checked) {
+                events.add(checked);
+            }
+        });
+        discovery = new DiscoveryLink(settings, numbers, shelves, news -> events.add(news));
+        table = new RequestTable(settings, bounds, shelves, front, event -> events.add(event));
+    }
+
+    @Override
+    public void turn(long time, List<NetEvent> told, List<NetAction> actions) {
+        now = time;
+        front.at(now, actions);
+        shelves.at(now, actions);
+        discovery.at(now, actions);
+        table.at(now, actions);
+        if (!begun) {
+            begun = true;
+            discovery.remembered(settings.known());
+            actions.add(new NetAction.Listen(HTTP, settings.listen()));
+        }
+        for (NetEvent event : told) {
+            take(event, actions);
+        }
+        shelves.expire();
+        discovery.expire();
+        table.expire();
+        front.expire();
+        decide(actions);
+        end(actions);
+    }
+
+    private void take(NetEvent event, List<NetAction> actions) {
+        if (event instanceof NetEvent.Received got) {
+            if (front.owns(got.conn())) {
+                front.received(got.conn(), got.data());
+            } else if (shelves.owns(got.conn())) {
+                shelves.received(got.conn(), got.data());
+            } else if (discovery.owns(got.conn())) {
+                discovery.received(got.conn(), got.data());
+            }
+        } else if (event instanceof NetEvent.Drained drained) {
+            if (front.owns(drained.conn())) {
+                front.drained(drained.conn(), drained.bytes());
+            } else if (shelves.owns(drained.conn())) {
+                shelves.drained(drained.conn(), drained.bytes());
+            }
+        } else if (event instanceof NetEvent.Accepted accepted) {
+            front.accepted(accepted.conn());
+        } else if (event instanceof NetEvent.Connected connected) {
+            if (shelves.owns(connected.conn())) {
+                shelves.connected(connected.conn());
+            } else if (discovery.owns(connected.conn())) {
+                discovery.connected(connected.conn());
+            }
+        } else if (event instanceof NetEvent.Closed closed) {
+            if (front.owns(closed.conn())) {
+                front.closed(closed.conn());
+            } else if (shelves.owns(closed.conn())) {
+                shelves.closed(closed.conn());
+            } else if (discovery.owns(closed.conn())) {
+                discovery.closed(closed.conn());
+            }
+        } else if (event instanceof NetEvent.ListenFailed failed) {
+            actions.add(new NetAction.Note(Level.WARN, "can't listen on " + settings.listen() + ": " + failed.why()));
+        } else if (event instanceof NetEvent.Told order) {
+            order(order.order(), actions);
+        }
+    }
+
+    private void order(NetEvent.Order order, List<NetAction> actions) {
+        if (order instanceof Reconfigure to) {
+            if (!to.settings().scheduling().equals(settings.scheduling())) {
+                actions.add(new NetAction.Note(Level.WARN, "the new configuration has other settings; they wait for a restart"));
+            }
+            discovery.redirect(to.settings().discovery());
+        } else if (order instanceof Drain && !draining) {
+            draining = true;
+            stopAcceptingAt = now + ACCEPT_ON;
+            front.drain();
+        }
+    }
+
+    private void requested(long conn, HttpRequest request) {
+        if (request.path().equals(Headers.READY)) {
+            boolean ready = shelves.known() > 0 && !draining;
+            front.answer(conn, HttpWriter.response(ready ? 200 : 503), NOTHING);
+        } else {
+            table.arrived(conn, request);
+        }
+    }
+
+    private void decide(List<NetAction> actions) {
+        while (!alarms.isEmpty() && alarms.peek().at() <= now) {
+            events.add(new Alarm(alarms.poll().name()));
+        }
+        if (events.isEmpty()) {
+            return;
+        }
+        List<Event> told = events;
+        events = new ArrayList<>();
+        for (Action action : scheduler.turn(now, told)) {
+            if (action instanceof Send send) {
+                table.send(send);
+            } else if (action instanceof Refuse refuse) {
+                table.refuse(refuse);
+            } else if (action instanceof Fail fail) {
+                table.fail(fail);
+            } else if (action instanceof SetAlarm alarm) {
+                alarms.add(new Due(now + Math.max(0, alarm.after()), ++alarmCount, alarm.name()));
+            } else if (action instanceof Cancel cancel) {
+                shelves.cancel(cancel.id(), cancel.attempt());
+            } else if (action instanceof Check check) {
+                shelves.check(check.node());
+            } else if (action instanceof CloseIdle close) {
+                shelves.closeIdle(close.node());
+            } else if (action instanceof Watch watch) {
+                discovery.watch(watch.on());
+            } else if (action instanceof FetchList) {
+                discovery.fetch();
+            } else if (action instanceof Remark remark) {
+                actions.add(new NetAction.Note(Level.INFO, remark.text()));
+            }
+        }
+    }
+
+    private void end(List<NetAction> actions) {
+        if (now >= stopAcceptingAt) {
+            stopAcceptingAt = Long.MAX_VALUE;
+            actions.add(new NetAction.Unlisten(HTTP));
+            front.closeUnused();
+        }
+        if (draining && stopAcceptingAt == Long.MAX_VALUE && !stopped && front.open() == 0) {
+            stopped = true;
+            front.closeUnused();
+            actions.add(new NetAction.Stopped());
+        }
+    }
+
+    @Override
+    public long wakeAt() {
+        if (!begun || !events.isEmpty()) {
+            return now;
+        }
+        long next = Math.min(Math.min(front.wakeAt(), shelves.wakeAt()), Math.min(discovery.wakeAt(), table.wakeAt()));
+        next = Math.min(next, stopAcceptingAt);
+        return alarms.isEmpty() ? next : Math.min(next, alarms.peek().at());
+    }
+
+    /** What is held now. */
+    Held held() {
+        return new Held(front.connections(), table.held(), shelves.connections(), shelves.attempts());
+    }
+
+    /** What a head holds. */
+    record Held(int clients, int requests, int shelfConnections, int attempts) { }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/platform/RequestTable.java
@@ -0,0 +1,297 @@
+package garnetreel.core.platform;
+
+import garnetreel.codec.http.Fields;
+import garnetreel.codec.ProtocolException;
+import garnetreel.codec.http.HttpRequest;
+import garnetreel.codec.http.HttpResponse;
+import garnetreel.codec.http.HttpWriter;
+import garnetreel.core.io.NetAction;
+import garnetreel.core.io.NetAction.Level;
+import garnetreel.policy.Scheduler.Abandoned;
+import garnetreel.policy.Scheduler.Arrived;
+import garnetreel.policy.Scheduler.Ended;
+import garnetreel.policy.Scheduler.Event;
+import garnetreel.policy.Scheduler.Fail;
+import garnetreel.policy.Scheduler.Outcome;
+import garnetreel.policy.Scheduler.Refuse;
+import garnetreel.policy.Scheduler.RequestClass;
+import garnetreel.policy.Scheduler.Send;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * The life of requests, from the last byte to the final answer and the end of the last attempt. Each gets one answer. The
+ * module decides; only what can't be a request of the platform, or is past a bound, is answered before it hears of it.
+ */
+final class RequestTable {
+    /** The module answers ahead of a deadline; one that is this late is the module's defect, and is failed here. */
+    private static final long OVERDUE = 20_000;
+    private static final double MICROS = 1e6;
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int NOT_ALLOWED = 405;
+    private static final int CONFLICT = 409;
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final byte[] NOTHING = {};
+
+    /** A request that is not answered, or that has an attempt out. */
+    private static final class Operation {
+        final long number;
+        final String id;
+        final long conn;
+        final HttpRequest request;
+        final long validUntil;
+        int attempts;
+        int out;
+        boolean over;
+
+        Operation(long number, String id, long conn, HttpRequest request, long validUntil) {
+            this.number = number;
+            this.id = id;
+            this.conn = conn;
+            this.request = request;
+            this.validUntil = validUntil;
+        }
+    }
+
+    private final PlatformSettings settings;
+    private final Bounds bounds;
+    private final ShelfLinks shelves;
+    private final ClientFront front;
+    private final Consumer<Event> module;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Map<Long, Operation> operations = new HashMap<>();
+    private final Map<String, Operation> byId = new HashMap<>();
+    private final Map<Long, Operation> byConn = new HashMap<>();
+    private final TreeSet<Operation> byDeadline = new TreeSet<>(Comparator.<Operation>comparingLong(o -> o.validUntil)
+            .thenComparingLong(o -> o.number));
+    private List<NetAction> actions = new ArrayList<>();
+    private long now;
+    private long last;
+    private long bytes;
+
+    RequestTable(PlatformSettings settings, Bounds bounds, ShelfLinks shelves, ClientFront front, Consumer<Event> module) {
+        this.settings = settings;
+        this.bounds = bounds;
+        this.shelves = shelves;
+        this.front = front;
+        this.module = module;
+        settings.scheduling().classes().forEach(c -> classes.put(c.name(), c));
+    }
+
+    void at(long time, List<NetAction> to) {
+        now = time;
+        actions = to;
+    }
+
+    /** Requests that are not answered, or whose attempt is out. */
+    int held() {
+        return operations.size();
+    }
+
+    // ---------------------------------------------------------------- arrivals
+
+    /** Takes a client's request, or answers it at once if it can't be one. */
+    void arrived(long conn, HttpRequest request) {
+        Operation operation;
+        Arrived event;
+        try {
+            int end = request.path().indexOf('/', 1);
+            RequestClass kind = classes.get(request.path().substring(1, end < 0 ? request.path().length() : end));
+            if (kind == null) {
+                answer(conn, NOT_FOUND, "no such class");
+                return;
+            }
+            boolean write = request.method().equals("PUT");
+            if (!write && !request.method().equals("GET")) {
+                answer(conn, NOT_ALLOWED, "neither GET nor PUT");
+                return;
+            }
+            String id = hex(request.fields(), Headers.ID, true);
+            if (byId.containsKey(id.toLowerCase(Locale.ROOT))) {
+                answer(conn, CONFLICT, "a request of this id is open");
+                return;
+            }
+            event = event(request, kind, write);
+            operation = new Operation(event.id(), id.toLowerCase(Locale.ROOT), conn, request, event.validUntil());
+        } catch (ProtocolException e) {
+            answer(conn, BAD_REQUEST, e.getMessage());
+            return;
+        }
+        if (operations.size() >= bounds.requests() || bytes + request.body().length > bounds.bytes()) {
+            front.answer(conn, refusal(settings.scheduling().maxStayAway()), NOTHING);
+            return;
+        }
+        bytes += request.body().length;
+        operations.put(operation.number, operation);
+        byId.put(operation.id, operation);
+        byConn.put(conn, operation);
+        byDeadline.add(operation);
+        module.accept(event);
+    }
+
+    private Arrived event(HttpRequest request, RequestClass kind, boolean write) throws ProtocolException {
+        Fields fields = request.fields();
+        String plan = fields.only(Headers.PLAN);
+        if (settings.scheduling().plans().stream().noneMatch(p -> p.name().equals(plan))) {
+            throw new ProtocolException("no such plan");
+        }
+        String key = hex(fields, Headers.KEY, false);
+        Facts facts = Facts.read(fields.only(Headers.FACTS));
+        long left = Math.min(timeLeft(fields.only(Headers.TIME_LEFT)), kind.deadline());
+        return new Arrived(++last, kind.name(), plan, key == null ? -1 : positive(key), now + left,
+                positive(facts.volume()), facts.units(), facts.shard(), facts.hosts(),
+                "1".equals(fields.first(Headers.REPEAT)), write);
+    }
+
+    private static String hex(Fields fields, String name, boolean needed) throws ProtocolException {
+        String text = fields.only(name);
+        if (text == null ? needed : !Facts.hex(text)) {
+            throw new ProtocolException(name + " is not 16 hexadecimal digits");
+        }
+        return text;
+    }
+
+    /** Numbers below 0 mean none to the module. */
+    private static long positive(String hex) {
+        return Long.parseUnsignedLong(hex, 16) & Long.MAX_VALUE;
+    }
+
+    private static long timeLeft(String text) throws ProtocolException {
+        if (text == null || !text.matches("[0-9]{1,9}(\\.[0-9]{1,9})?")) {
+            throw new ProtocolException(Headers.TIME_LEFT + " is no number of seconds");
+        }
+        long left = (long) (Double.parseDouble(text) * MICROS);
+        if (left <= 0) {
+            throw new ProtocolException(Headers.TIME_LEFT + " leaves no time");
+        }
+        return left;
+    }
+
+    private void answer(long conn, int status, String why) {
+        front.answer(conn, HttpWriter.response(status), why.getBytes(StandardCharsets.UTF_8));
+    }
+
+    // ---------------------------------------------------------------- what the module decided
+
+    void send(Send send) {
+        Operation operation = operations.get(send.id());
+        if (operation == null || operation.over) {
+            defect("sends request " + send.id() + ", which is over");
+            return;
+        }
+        long until = send.timeout() > 0 ? Math.min(operation.validUntil, now + send.timeout()) : operation.validUntil;
+        Attempt attempt = new Attempt(operation.number, operation.attempts++, send.node(), now, until);
+        operation.out++;
+        Fields fields = operation.request.fields();
+        HttpWriter writer = HttpWriter.request(operation.request.method(), operation.request.target(), Headers.HOST)
+                .field(Headers.ID, fields.first(Headers.ID))
+                .field(Headers.TIME_LEFT, seconds(Math.max(1_000, until - now)));
+        for (String name : List.of(Headers.PLAN, Headers.KEY, Headers.FACTS)) {
+            if (fields.has(name)) {
+                writer.field(name, fields.first(name));
+            }
+        }
+        shelves.send(attempt, writer.body(operation.request.body(), operation.request.method().equals("PUT")));
+    }
+
+    private static String seconds(long micros) {
+        return String.format(Locale.ROOT, "%d.%03d", micros / 1_000_000, micros / 1_000 % 1_000);
+    }
+
+    void refuse(Refuse refuse) {
+        finish(operations.get(refuse.id()), refusal(refuse.stayAway()), NOTHING);
+    }
+
+    private HttpWriter refusal(long stayAway) {
+        HttpWriter writer = HttpWriter.response(UNAVAILABLE);
+        return settings.retryAfter() && stayAway > 0 ? writer.field(Headers.RETRY_AFTER, seconds(stayAway)) : writer;
+    }
+
+    void fail(Fail fail) {
+        finish(operations.get(fail.id()), HttpWriter.response(BAD_GATEWAY), NOTHING);
+    }
+
+    private void finish(Operation operation, HttpWriter head, byte[] body) {
+        if (operation == null || operation.over) {
+            defect("answers a request that is over");
+            return;
+        }
+        front.answer(operation.conn, head, body);
+        over(operation);
+    }
+
+    private void defect(String what) {
+        actions.add(new NetAction.Note(Level.WARN, "the module " + what));
+    }
+
+    private void over(Operation operation) {
+        operation.over = true;
+        byConn.remove(operation.conn);
+        byDeadline.remove(operation);
+        forgetIfDone(operation);
+    }
+
+    private void forgetIfDone(Operation operation) {
+        if (operation.over && operation.out == 0) {
+            bytes -= operation.request.body().length;
+            operations.remove(operation.number);
+            byId.remove(operation.id);
+        }
+    }
+
+    // ---------------------------------------------------------------- what happened
+
+    /** The client of a connection has left. */
+    void left(long conn) {
+        Operation operation = byConn.get(conn);
+        if (operation != null) {
+            over(operation);
+            module.accept(new Abandoned(operation.number));
+        }
+    }
+
+    void ended(Attempt attempt, Outcome outcome, HttpResponse answer) {
+        Operation operation = operations.get(attempt.request());
+        operation.out--;
+        boolean over = operation.over;
+        if (!over && outcome == Outcome.OK) {
+            front.answer(operation.conn, HttpWriter.response(OK), answer.body());
+            over(operation);
+        } else {
+            forgetIfDone(operation);
+        }
+        Fields fields = answer == null ? new Fields() : answer.fields();
+        module.accept(new Ended(attempt.request(), attempt.number(), attempt.node(), outcome, now - attempt.sentAt(),
+                over || outcome == Outcome.OK, units(fields.first(Headers.FROM_OTHERS)), 0,
+                LoadReport.read(fields.first(Headers.LOAD))));
+    }
+
+    /** Units served through other heads; what can't be read counts as none. */
+    private static long units(String text) {
+        return text != null && text.matches("[0-9]{1,9}") ? Long.parseLong(text) : 0;
+    }
+
+    long wakeAt() {
+        return byDeadline.isEmpty() ? Long.MAX_VALUE : byDeadline.first().validUntil + OVERDUE;
+    }
+
+    /** Fails what the module has left unanswered. */
+    void expire() {
+        while (!byDeadline.isEmpty() && byDeadline.first().validUntil + OVERDUE <= now) {
+            Operation operation = byDeadline.first();
+            defect("left a request without an answer");
+            finish(operation, HttpWriter.response(BAD_GATEWAY), NOTHING);
+            module.accept(new Abandoned(operation.number));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
@@ -0,0 +1,399 @@
+package garnetreel.core.platform;
+
+import garnetreel.codec.ProtocolException;
+import garnetreel.codec.http.HttpResponse;
+import garnetreel.codec.http.HttpWriter;
+import garnetreel.codec.http.RequestParser;
+import garnetreel.codec.http.ResponseParser;
+import garnetreel.core.io.NetAction;
+import garnetreel.core.io.NetAction.Level;
+import garnetreel.core.link.ConnectionNumbers;
+import garnetreel.policy.Scheduler.Checked;
+import garnetreel.policy.Scheduler.NodeState;
+import garnetreel.policy.Scheduler.Outcome;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * Connections to shelves; each carries one request at a time. An attempt ends here exactly once.
+ *
+ * <p>How an end is told, as it decides what may be tried again: not written whole to a connection that stood, it did not
+ * run; written whole and no good answer, it may have run. A connection is used again only after a whole answer with
+ * nothing behind it.
+ */
+final class ShelfLinks {
+    /**
+     * A connection rests so long after an answer. Guards against bytes that come right behind an answer (a second copy of
+     * it reads like the answer to the next request): what comes within this time ends the connection, and nobody waits on it.
+     */
+    private static final long REST = 2_000;
+    /** Part of the stated idle time after which an idle connection is closed from this side. */
+    private static final double IDLE_PART = 0.7;
+    /** Stands for the stated idle time where there is none. */
+    private static final long IDLE_UNTOLD = 10_000_000;
+    /** A check that has no answer by then has failed. */
+    private static final long CHECK_WAIT = 1_000_000;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    /** Who is told of ends. */
+    interface Listener {
+        /** @param answer what came; null where nothing whole did */
+        void ended(Attempt attempt, Outcome outcome, HttpResponse answer);
+
+        void checked(Checked checked);
+    }
+
+    /** One connection. It has an attempt, or is a check, or is idle. */
+    private static final class Link {
+        final long conn;
+        final String node;
+        final String dial;
+        final ResponseParser parser = new ResponseParser(RequestParser.BODY_MOST);
+        Attempt attempt;
+        boolean check;
+        ByteBuffer unsent;
+        boolean open;
+        int toDrain;
+        long since;
+
+        Link(long conn, String node, String dial, long now) {
+            this.conn = conn;
+            this.node = node;
+            this.dial = dial;
+            this.since = now;
+        }
+
+        boolean idle() {
+            return attempt == null && !check;
+        }
+    }
+
+    private record Shelf(String dial, long startedAt) { }
+
+    private final ConnectionNumbers numbers;
+    private final long connectTimeout;
+    private final long idleMost;
+    private final int most;
+    private final Listener listener;
+    private final Map<String, Shelf> shelves = new HashMap<>();
+    private final Map<Long, Link> links = new LinkedHashMap<>();
+    private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
+    private final Map<Long, Link> comingUp = new LinkedHashMap<>();
+    private final Map<Attempt, Link> out = new HashMap<>();
+    private final TreeSet<Attempt> timeouts = new TreeSet<>(Comparator.<Attempt>comparingLong(Attempt::until)
+            .thenComparingLong(Attempt::request).thenComparingInt(Attempt::number));
+    private final Map<Long, Link> checks = new LinkedHashMap<>();
+    /** Attempts that could not be begun; told in the next turn, since the module is in its own now. */
+    private final ArrayDeque<Attempt> unsendable = new ArrayDeque<>();
+    private List<NetAction> actions = new ArrayList<>();
+    private long now;
+
+    ShelfLinks(PlatformSettings settings, Bounds bounds, ConnectionNumbers numbers, Listener listener) {
+        this.numbers = numbers;
+        this.connectTimeout = settings.scheduling().connectTimeout();
+        this.idleMost = (long) (IDLE_PART * (settings.idleClose() > 0 ? settings.idleClose() : IDLE_UNTOLD));
+        this.most = bounds.shelves();
+        this.listener = listener;
+    }
+
+    /** Sets the time of this turn and where its actions go. */
+    void at(long time, List<NetAction> to) {
+        now = time;
+        actions = to;
+    }
+
+    boolean owns(long conn) {
+        return links.containsKey(conn);
+    }
+
+    int connections() {
+        return links.size();
+    }
+
+    int attempts() {
+        return out.size() + unsendable.size();
+    }
+
+    int known() {
+        return shelves.size();
+    }
+
+    // ---------------------------------------------------------------- the list
+
+    /** Follows the list: whatever left it, moved or started anew has its idle connections closed, and is forgotten if gone. */
+    void follow(ListUpdate update) {
+        Map<String, Shelf> before = new HashMap<>(shelves);
+        if (update.whole()) {
+            shelves.clear();
+        }
+        for (ListUpdate.Entry entry : update.entries()) {
+            if (entry.node().state() == NodeState.GONE) {
+                shelves.remove(entry.node().address());
+            } else {
+                shelves.put(entry.node().address(), new Shelf(entry.dial(), entry.node().startedAt()));
+            }
+        }
+        before.forEach((node, shelf) -> {
+            if (!shelf.equals(shelves.get(node))) {
+                closeIdle(node);
+            }
+        });
+    }
+
+    /** Closes connections to a shelf on which nothing is out. */
+    void closeIdle(String node) {
+        ArrayDeque<Link> some = idle.get(node);
+        while (some != null && !some.isEmpty()) {
+            drop(some.peekFirst(), false);
+        }
+    }
+
+    // ---------------------------------------------------------------- sends
+
+    /** Starts an attempt. */
+    void send(Attempt attempt, ByteBuffer request) {
+        Link link = link(attempt.node());
+        if (link == null) {
+            unsendable.add(attempt);
+            return;
+        }
+        link.attempt = attempt;
+        out.put(attempt, link);
+        timeouts.add(attempt);
+        carry(link, request);
+    }
+
+    /** Checks a shelf. */
+    void check(String node) {
+        Link link = link(node);
+        if (link == null) {
+            listener.checked(new Checked(node, Outcome.CONNECT_FAILED, 0, Map.of()));
+            return;
+        }
+        link.check = true;
+        checks.put(link.conn, link);
+        carry(link, HttpWriter.request("GET", Headers.STATS, Headers.HOST).body(new byte[0], false));
+    }
+
+    /** A connection that has rested, the one idle for longest; else a new one. */
+    private Link link(String node) {
+        Shelf shelf = shelves.get(node);
+        if (shelf == null) {
+            return null;
+        }
+        ArrayDeque<Link> some = idle.get(node);
+        Link rested = some == null ? null : some.peekFirst();
+        if (rested != null && now - rested.since >= REST) {
+            unidle(rested);
+            return rested;
+        }
+        if (links.size() >= most && !dropLongestIdle()) {
+            return null;
+        }
+        Link link = new Link(numbers.next(), node, shelf.dial(), now);
+        links.put(link.conn, link);
+        comingUp.put(link.conn, link);
+        actions.add(new NetAction.Connect(link.conn, link.dial));
+        return link;
+    }
+
+    private boolean dropLongestIdle() {
+        Link longest = null;
+        for (ArrayDeque<Link> some : idle.values()) {
+            if (longest == null || some.peekFirst().since < longest.since) {
+                longest = some.peekFirst();
+            }
+        }
+        if (longest != null) {
+            drop(longest, false);
+        }
+        return longest != null;
+    }
+
+    private void carry(Link link, ByteBuffer request) {
+        link.since = now;
+        link.toDrain = request.remaining();
+        if (link.open) {
+            actions.add(new NetAction.Write(link.conn, request));
+        } else {
+            link.unsent = request;
+        }
+    }
+
+    /** Stops waiting for an attempt; ending its connection is how a shelf learns that. */
+    void cancel(long request, int number) {
+        for (Attempt attempt : List.copyOf(out.keySet())) {
+            if (attempt.request() == request && attempt.number() == number) {
+                Link link = out.get(attempt);
+                boolean unsent = link.unsent != null;
+                drop(link, true);
+                end(link, unsent ? Outcome.CONNECT_FAILED : Outcome.CANCELLED, null);
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- what happens to connections
+
+    void connected(long conn) {
+        Link link = links.get(conn);
+        link.open = true;
+        comingUp.remove(conn);
+        if (link.unsent != null) {
+            actions.add(new NetAction.Write(conn, link.unsent));
+            link.unsent = null;
+        }
+    }
+
+    void drained(long conn, int bytes) {
+        links.get(conn).toDrain -= bytes;
+    }
+
+    void closed(long conn) {
+        Link link = links.get(conn);
+        forget(link);
+        if (!link.idle()) {
+            end(link, !link.open || link.toDrain > 0 ? Outcome.CONNECT_FAILED : Outcome.RESET, null);
+        }
+    }
+
+    void received(long conn, ByteBuffer data) {
+        Link link = links.get(conn);
+        if (link.idle()) {
+            drop(link, true); // bytes that belong to no request
+            return;
+        }
+        HttpResponse answer;
+        try {
+            answer = link.parser.next(data);
+        } catch (ProtocolException e) {
+            actions.add(new NetAction.Note(Level.DEBUG, "shelf " + link.node + ": " + e.getMessage()));
+            drop(link, true);
+            end(link, Outcome.ERROR, null);
+            return;
+        }
+        if (answer == null) {
+            return;
+        }
+        // An answer to a request that has not left whole can't be its answer, and what follows an answer is nobody's.
+        boolean early = link.toDrain > 0;
+        if (early || data.hasRemaining() || !answer.reusable()) {
+            drop(link, true);
+        }
+        Outcome outcome = early ? Outcome.ERROR : outcome(answer);
+        end(link, outcome, early ? null : answer);
+        if (links.containsKey(conn)) {
+            link.since = now;
+            idle.computeIfAbsent(link.node, any -> new ArrayDeque<>()).addLast(link);
+            Shelf shelf = shelves.get(link.node);
+            if (shelf == null || !shelf.dial().equals(link.dial)) {
+                drop(link, false);
+            }
+        }
+    }
+
+    private static Outcome outcome(HttpResponse answer) {
+        if (answer.status() == OK && answer.body().length > 0) {
+            return Outcome.OK;
+        }
+        boolean notRun = "1".equals(answer.fields().first(Headers.NOT_RUN));
+        if (notRun && answer.status() == UNAVAILABLE) {
+            return Outcome.FULL;
+        }
+        return notRun && answer.status() == GATEWAY_TIMEOUT ? Outcome.MOOT : Outcome.ERROR;
+    }
+
+    private void end(Link link, Outcome outcome, HttpResponse answer) {
+        if (link.attempt != null) {
+            Attempt attempt = link.attempt;
+            link.attempt = null;
+            out.remove(attempt);
+            timeouts.remove(attempt);
+            listener.ended(attempt, outcome, answer);
+        } else if (link.check) {
+            link.check = false;
+            checks.remove(link.conn);
+            boolean live = answer != null && answer.status() == OK;
+            listener.checked(new Checked(link.node, live ? Outcome.OK : outcome == Outcome.OK ? Outcome.ERROR : outcome,
+                    now - link.since, live ? LoadReport.read(answer.body()) : Map.of()));
+        }
+    }
+
+    private void drop(Link link, boolean abort) {
+        actions.add(new NetAction.Close(link.conn, abort));
+        forget(link);
+    }
+
+    private void forget(Link link) {
+        links.remove(link.conn);
+        comingUp.remove(link.conn);
+        unidle(link);
+    }
+
+    private void unidle(Link link) {
+        ArrayDeque<Link> some = idle.get(link.node);
+        if (some != null && some.remove(link) && some.isEmpty()) {
+            idle.remove(link.node);
+        }
+    }
+
+    // ---------------------------------------------------------------- time
+
+    /** When something here is due. */
+    long wakeAt() {
+        if (!unsendable.isEmpty()) {
+            return now;
+        }
+        long next = timeouts.isEmpty() ? Long.MAX_VALUE : timeouts.first().until();
+        if (!comingUp.isEmpty()) {
+            next = Math.min(next, comingUp.values().iterator().next().since + connectTimeout);
+        }
+        if (!checks.isEmpty()) {
+            next = Math.min(next, checks.values().iterator().next().since + CHECK_WAIT);
+        }
+        for (ArrayDeque<Link> some : idle.values()) {
+            next = Math.min(next, some.peekFirst().since + idleMost);
+        }
+        return next;
+    }
+
+    /** Ends what has run out of time. */
+    void expire() {
+        for (int left = unsendable.size(); left > 0; left--) {
+            listener.ended(unsendable.poll(), Outcome.CONNECT_FAILED, null);
+        }
+        while (!timeouts.isEmpty() && timeouts.first().until() <= now) {
+            Link link = out.get(timeouts.first());
+            boolean unsent = !link.open || link.toDrain > 0;
+            drop(link, true);
+            end(link, unsent ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, null);
+        }
+        endOld(comingUp, connectTimeout, Outcome.CONNECT_FAILED);
+        endOld(checks, CHECK_WAIT, Outcome.TIMEOUT);
+        for (ArrayDeque<Link> some : List.copyOf(idle.values())) {
+            while (!some.isEmpty() && now - some.peekFirst().since >= idleMost) {
+                drop(some.peekFirst(), false);
+            }
+        }
+    }
+
+    private void endOld(Map<Long, Link> some, long after, Outcome outcome) {
+        while (!some.isEmpty()) {
+            Link oldest = some.values().iterator().next();
+            if (now - oldest.since < after) {
+                return;
+            }
+            drop(oldest, true);
+            some.remove(oldest.conn);
+            end(oldest, outcome, null);
+        }
+    }
+}
--- a/simhost/src/main/java/garnetreel/simhost/Json.java
+++ b/settings/src/main/java/garnetreel/settings/Json.java
@@ -1,4 +1,4 @@
-package garnetreel.simhost;
+package garnetreel.settings;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -9,8 +9,8 @@
 import java.util.List;
 import java.util.Map;
 
-/** One JSON value of the wire, read by streaming into plain maps, lists, numbers and strings, with typed access. */
-final class Json {
+/** One JSON object, read by streaming into plain maps, lists, numbers and strings, with typed access. */
+public final class Json {
     private static final JsonFactory FACTORY = new JsonFactory();
 
     private final Map<String, Object> fields;
@@ -22,19 +22,27 @@
     }
 
     /** Reads a line that must hold one object and nothing else. */
-    static Json parse(byte[] buffer, int from, int length, long line) throws WireException {
-        String where = "line " + line;
+    public static Json parse(byte[] buffer, int from, int length, long line) throws JsonException {
+        return parse(buffer, from, length, "line " + line);
+    }
+
+    /**
+     * Reads bytes that must hold one object and nothing else.
+     *
+     * @param where what the bytes are, for messages
+     */
+    public static Json parse(byte[] buffer, int from, int length, String where) throws JsonException {
         try (JsonParser parser = FACTORY.createParser(buffer, from, length)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
-                throw new WireException(where + ": not a JSON object");
+                throw new JsonException(where + ": not a JSON object");
             }
             Map<String, Object> fields = object(parser);
             if (parser.nextToken() != null) {
-                throw new WireException(where + ": more than one JSON value");
+                throw new JsonException(where + ": more than one JSON value");
             }
             return new Json(fields, where);
         } catch (IOException e) {
-            throw new WireException(where + ": not JSON");
+            throw new JsonException(where + ": not JSON");
         }
     }
 
@@ -74,11 +82,11 @@
         }
     }
 
-    private WireException bad(String name, String what) {
-        return new WireException(where + ": field \"" + name + "\" " + what);
+    private JsonException bad(String name, String what) {
+        return new JsonException(where + ": field \"" + name + "\" " + what);
     }
 
-    private <T> T get(String name, Class<T> type, T otherwise) throws WireException {
+    private <T> T get(String name, Class<T> type, T otherwise) throws JsonException {
         Object value = fields.get(name);
         if (value == null) {
             return otherwise;
@@ -89,42 +97,46 @@
         return type.cast(value);
     }
 
-    Json need(String name) throws WireException {
+    public Json need(String name) throws JsonException {
         if (fields.get(name) == null) {
             throw bad(name, "is missing");
         }
         return this;
     }
 
-    String text(String name, String otherwise) throws WireException {
+    public boolean has(String name) {
+        return fields.get(name) != null;
+    }
+
+    public String text(String name, String otherwise) throws JsonException {
         return get(name, String.class, otherwise);
     }
 
-    long whole(String name, long otherwise) throws WireException {
+    public long whole(String name, long otherwise) throws JsonException {
         return get(name, Number.class, otherwise).longValue();
     }
 
-    double number(String name, double otherwise) throws WireException {
+    public double number(String name, double otherwise) throws JsonException {
         return get(name, Number.class, otherwise).doubleValue();
     }
 
     /** A time, in seconds on the wire, as microseconds. */
-    long micros(String name, double otherwise) throws WireException {
+    public long micros(String name, double otherwise) throws JsonException {
         return Math.round(number(name, otherwise) * 1e6);
     }
 
-    boolean flag(String name, boolean otherwise) throws WireException {
+    public boolean flag(String name, boolean otherwise) throws JsonException {
         return get(name, Boolean.class, otherwise);
     }
 
     /** A nested object; an empty one when absent. */
-    Json child(String name) throws WireException {
+    public Json child(String name) throws JsonException {
         Map<?, ?> value = get(name, Map.class, Map.of());
         return wrap(value, name);
     }
 
     /** A list of nested objects; empty when absent. */
-    List<Json> children(String name) throws WireException {
+    public List<Json> children(String name) throws JsonException {
         List<Json> children = new ArrayList<>();
         for (Object item : get(name, List.class, List.of())) {
             if (!(item instanceof Map<?, ?> map)) {
@@ -136,7 +148,7 @@
     }
 
     /** A list of flags; empty when absent. */
-    List<Boolean> flags(String name) throws WireException {
+    public List<Boolean> flags(String name) throws JsonException {
         List<Boolean> flags = new ArrayList<>();
         for (Object item : get(name, List.class, List.of())) {
             flags.add(Boolean.TRUE.equals(item));
@@ -145,10 +157,16 @@
     }
 
     /** A nested object's numbers by name; whatever is no number is skipped. */
-    Map<String, Double> numbers(String name) throws WireException {
-        if (!(fields.get(name) instanceof Map<?, ?> map)) {
-            return Map.of();
-        }
+    public Map<String, Double> numbers(String name) {
+        return fields.get(name) instanceof Map<?, ?> map ? numbers(map) : Map.of();
+    }
+
+    /** This object's numbers by name; whatever is no number is skipped. */
+    public Map<String, Double> numbers() {
+        return numbers(fields);
+    }
+
+    private static Map<String, Double> numbers(Map<?, ?> map) {
         Map<String, Double> numbers = new LinkedHashMap<>();
         for (Map.Entry<?, ?> entry : map.entrySet()) {
             if (entry.getValue() instanceof Number number) {
--- a/simhost/src/main/java/garnetreel/simhost/Codec.java
+++ b/simhost/src/main/java/garnetreel/simhost/Codec.java
@@ -11,35 +11,31 @@
 import garnetreel.policy.Scheduler.Check;
 import garnetreel.policy.Scheduler.Checked;
 import garnetreel.policy.Scheduler.CloseIdle;
-import garnetreel.policy.Scheduler.Effect;
 import garnetreel.policy.Scheduler.Ended;
 import garnetreel.policy.Scheduler.Event;
 import garnetreel.policy.Scheduler.Fail;
 import garnetreel.policy.Scheduler.FetchList;
-import garnetreel.policy.Scheduler.Group;
 import garnetreel.policy.Scheduler.Heard;
 import garnetreel.policy.Scheduler.ListKind;
 import garnetreel.policy.Scheduler.NodeEntry;
 import garnetreel.policy.Scheduler.NodeNews;
 import garnetreel.policy.Scheduler.NodeState;
 import garnetreel.policy.Scheduler.Outcome;
-import garnetreel.policy.Scheduler.Plan;
 import garnetreel.policy.Scheduler.Refuse;
 import garnetreel.policy.Scheduler.Remark;
-import garnetreel.policy.Scheduler.RequestClass;
-import garnetreel.policy.Scheduler.Rules;
 import garnetreel.policy.Scheduler.Send;
 import garnetreel.policy.Scheduler.SetAlarm;
-import garnetreel.policy.Scheduler.Settings;
 import garnetreel.policy.Scheduler.StreamBegan;
 import garnetreel.policy.Scheduler.Watch;
+import garnetreel.settings.Json;
+import garnetreel.settings.JsonException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 
-/** Turns the simulator's messages into the module's events and settings, and actions into messages. */
+/** Turns the simulator's messages into the module's events, and actions into messages. */
 final class Codec {
     private static final JsonFactory FACTORY = new JsonFactory();
     private static final Outcome[] OUTCOMES = {Outcome.UNKNOWN, Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT,
@@ -48,7 +44,7 @@
     private Codec() { }
 
     /** The event in a message, or null for a message that is none of the module's. */
-    static Event event(String message, Json json) throws WireException {
+    static Event event(String message, Json json) throws JsonException {
         return switch (message) {
             case "endpoints" -> news(json);
             case "incoming" -> arrived(json);
@@ -64,13 +60,13 @@
         };
     }
 
-    private static NodeNews news(Json json) throws WireException {
+    private static NodeNews news(Json json) throws JsonException {
         ListKind kind = switch (json.need("kind").text("kind", "")) {
             case "changes" -> ListKind.CHANGES;
             case "all" -> ListKind.ALL;
             case "remembered" -> ListKind.REMEMBERED;
             case "refused" -> ListKind.REFUSED;
-            default -> throw new WireException("field \"kind\": unknown kind of list");
+            default -> throw new JsonException("field \"kind\": unknown kind of list");
         };
         List<NodeEntry> entries = new ArrayList<>();
         for (Json entry : json.children("entries")) {
@@ -86,7 +82,7 @@
         return new NodeNews(kind, entries);
     }
 
-    private static Arrived arrived(Json json) throws WireException {
+    private static Arrived arrived(Json json) throws JsonException {
         return new Arrived(json.need("id").whole("id", 0), json.need("qos").text("qos", ""),
                 json.text("policy-no", ""), json.whole("chunk", -1),
                 json.need("valid-until").micros("valid-until", 0), json.whole("share-id", -1),
@@ -94,14 +90,14 @@
                 json.flag("repeat", false), json.flag("update", false));
     }
 
-    private static Ended ended(Json json) throws WireException {
+    private static Ended ended(Json json) throws JsonException {
         json.need("state-code");
         return new Ended(json.need("id").whole("id", 0), (int) json.whole("round-no", 0), json.text("shelf", ""),
                 outcome(json), json.micros("duration", 0), json.flag("done-flag", false),
                 json.whole("from-others", 0), json.whole("usage", 0), json.numbers("load"));
     }
 
-    private static Outcome outcome(Json json) throws WireException {
+    private static Outcome outcome(Json json) throws JsonException {
         long code = json.whole("state-code", 0);
         return code > 0 && code < OUTCOMES.length ? OUTCOMES[(int) code] : Outcome.UNKNOWN;
     }
@@ -114,57 +110,6 @@
         }
     }
 
-    /** The settings; whatever is absent stands for "not in force" or "none". */
-    static Settings settings(Json json) throws WireException {
-        Json limits = json.child("limits");
-        Json facts = json.child("specifics");
-        List<Boolean> writes = facts.flags("class-writes");
-        List<RequestClass> classes = new ArrayList<>();
-        for (Json item : json.children("classes")) {
-            int index = classes.size();
-            classes.add(requestClass(item, index < writes.size() && writes.get(index)));
-        }
-        List<Plan> plans = new ArrayList<>();
-        for (Json item : json.children("service-levels")) {
-            plans.add(new Plan(item.text("name", ""), item.number("never-over", 0), item.number("limit-burst", 0),
-                    item.number("slack", 0), item.number("worth-factor", 1), item.number("usual-rate", 0),
-                    item.number("floor-rate", 0), item.number("proportion", 1)));
-        }
-        return new Settings((int) json.whole("me", 0), (int) json.whole("balancers", 1),
-                json.text("discovery", "").equals("subscribe"), classes, plans, rules(json.child("rules")),
-                facts.number("young-limit", 0), facts.number("unit-mean", 1), facts.number("most-units", 1),
-                facts.number("share-worth", 1), facts.number("idle-worth", 1), facts.flag("tells-elsewhere", false),
-                facts.micros("metering", 0), (int) limits.whole("try-limit", 1), limits.flag("second-copies", false),
-                limits.flag("cancel", false), limits.flag("probes", false),
-                json.child("clients").flag("marks-retry", false),
-                limits.flag("retry-after", false) ? limits.micros("max-retry-after", 0) : 0,
-                limits.micros("dial-timeout", 0), json.micros("tick", 0));
-    }
-
-    private static RequestClass requestClass(Json item, boolean writes) throws WireException {
-        Effect effect = switch (item.text("effect", "")) {
-            case "repeatable" -> Effect.REPEATABLE;
-            case "by_key" -> Effect.KEYED;
-            default -> Effect.ONCE;
-        };
-        Group group = switch (item.text("group", "")) {
-            case "all" -> Group.ALL;
-            case "zone" -> Group.ZONE;
-            default -> Group.CELL;
-        };
-        return new RequestClass(item.text("name", ""), item.micros("aim", 0), item.number("aim-stretch", 0),
-                item.micros("hard-limit", 0), effect, group, item.number("late-share", 0),
-                item.flag("streaming", false), item.micros("repeat-window", 0), item.number("importance", 1),
-                item.flag("in-order", false), writes);
-    }
-
-    private static Rules rules(Json item) throws WireException {
-        return new Rules(item.micros("answer-slack", 0), item.micros("ask-every", 0), item.number("free-resends", 0),
-                item.number("further-ratio", 0), item.micros("extra-window", 0), item.number("cold-share", 1),
-                item.micros("warm-within", 0), item.micros("stop-sending-within", 0),
-                item.number("fall-multiple", 0), item.micros("fall", 0), item.micros("key-quiet", 0));
-    }
-
     /** Opens the reply of one batch. */
     static JsonGenerator reply(ByteArrayOutputStream out) throws IOException {
         return FACTORY.createGenerator(out).setPrettyPrinter(new MinimalPrettyPrinter("\n"));
--- a/simhost/src/main/java/garnetreel/simhost/Host.java
+++ b/simhost/src/main/java/garnetreel/simhost/Host.java
@@ -5,6 +5,9 @@
 import garnetreel.policy.Scheduler;
 import garnetreel.policy.Scheduler.Action;
 import garnetreel.policy.Scheduler.Event;
+import garnetreel.settings.Json;
+import garnetreel.settings.JsonException;
+import garnetreel.settings.SettingsReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -35,7 +38,7 @@
     }
 
     /** Serves batches until the input ends; an end inside a batch is an error. */
-    void run() throws IOException, WireException {
+    void run() throws IOException, JsonException {
         int length;
         while ((length = nextLine()) >= 0) {
             int from = start;
@@ -45,7 +48,7 @@
             }
         }
         if (inBatch) {
-            throw new WireException("line " + line + ": input ended inside a batch");
+            throw new JsonException("line " + line + ": input ended inside a batch");
         }
     }
 
@@ -89,18 +92,18 @@
         }
     }
 
-    private void take(Json json) throws IOException, WireException {
+    private void take(Json json) throws IOException, JsonException {
         String message = json.need("msg").text("msg", "");
         if (message.equals("turn")) {
             if (inBatch) {
-                throw new WireException("line " + line + ": a batch begins inside a batch");
+                throw new JsonException("line " + line + ": a batch begins inside a batch");
             }
             now = json.need("t").micros("t", 0);
             inBatch = true;
             return;
         }
         if (!inBatch) {
-            throw new WireException("line " + line + ": \"" + message + "\" outside a batch");
+            throw new JsonException("line " + line + ": \"" + message + "\" outside a batch");
         }
         if (message.equals("your-turn")) {
             answer();
@@ -109,12 +112,12 @@
         Event event = Codec.event(message, json);
         boolean born = message.equals("born");
         if (event == null && !born && !message.equals("kill")) {
-            throw new WireException("line " + line + ": unknown event \"" + message + "\"");
+            throw new JsonException("line " + line + ": unknown event \"" + message + "\"");
         }
         int instance = (int) json.need("head-id").whole("head-id", 0);
         if (born) {
             pending.remove(instance);
-            instances.put(instance, new Control(Codec.settings(json.need("settings").child("settings")),
+            instances.put(instance, new Control(SettingsReader.read(json.need("settings").child("settings")),
                     json.whole("entropy", 0)));
         } else if (event == null) {
             pending.remove(instance);
@@ -122,7 +125,7 @@
         } else if (instances.containsKey(instance)) {
             pending.computeIfAbsent(instance, any -> new ArrayList<>()).add(event);
         } else {
-            throw new WireException("line " + line + ": field \"head-id\" names no running instance");
+            throw new JsonException("line " + line + ": field \"head-id\" names no running instance");
         }
     }
 
--- a/simhost/src/main/java/garnetreel/simhost/Main.java
+++ b/simhost/src/main/java/garnetreel/simhost/Main.java
@@ -1,5 +1,6 @@
 package garnetreel.simhost;
 
+import garnetreel.settings.JsonException;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
@@ -16,7 +17,7 @@
         }
         try {
             new Host(System.in, new FileOutputStream(FileDescriptor.out)).run();
-        } catch (WireException | IOException e) {
+        } catch (JsonException | IOException e) {
             System.err.println("garnetreel: " + e.getMessage());
             System.exit(1);
         }
--- a/simhost/src/test/java/garnetreel/simhost/CodecTest.java
+++ b/simhost/src/test/java/garnetreel/simhost/CodecTest.java
@@ -25,6 +25,8 @@
 import garnetreel.policy.Scheduler.SetAlarm;
 import garnetreel.policy.Scheduler.StreamBegan;
 import garnetreel.policy.Scheduler.Watch;
+import garnetreel.settings.Json;
+import garnetreel.settings.JsonException;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -32,7 +34,7 @@
 
 /** Every event as read and every action as written. */
 class CodecTest {
-    private static Event read(String message, String fields) throws WireException {
+    private static Event read(String message, String fields) throws JsonException {
         byte[] bytes = ("{\"head-id\":1," + fields + "}").getBytes(StandardCharsets.UTF_8);
         return Codec.event(message, Json.parse(bytes, 0, bytes.length, 1));
     }
--- a/simhost/src/test/java/garnetreel/simhost/WireTest.java
+++ b/simhost/src/test/java/garnetreel/simhost/WireTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import garnetreel.settings.Json;
+import garnetreel.settings.JsonException;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -21,14 +23,14 @@
             {"msg":"your-turn"}
             """;
 
-    private static String run(String input) throws IOException, WireException {
+    private static String run(String input) throws IOException, JsonException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         new Host(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out).run();
         return out.toString(StandardCharsets.UTF_8);
     }
 
     private static void fails(String input, String part) {
-        String message = assertThrows(WireException.class, () -> run(input)).getMessage();
+        String message = assertThrows(JsonException.class, () -> run(input)).getMessage();
         assertTrue(message.contains(part), message);
     }
 
