The module forgets nodes that left, shards nobody asks for, and the times of requests taken

Observed: nodes stayed in the module's table for good, as did lanes of any shard that a client named; the times of requests taken were only dropped when a further attempt was weighed, so a head without failures kept one for each request of its life. ForgettingTest shows 4,001 nodes and 4,000 times after 4,000 replacements before the change.

Cause: news() and lane() only add; `taken` is pruned in budgetLeft() alone.

Tried and not kept: forgetting flows after 15 s, and a lane as soon as its shard has no node.

--- a/policy/src/main/java/garnetreel/policy/Control.java
+++ b/policy/src/main/java/garnetreel/policy/Control.java
@@ -68,8 +68,10 @@
     private static final long MOMENT = 5_000;
     /** Requests given up that are remembered. */
     private static final int TRACES = 4_096;
-    /** A flow unused for this long is forgotten. */
+    /** A flow unused for this long is forgotten; sooner where there are many: its stores are full by then. */
     private static final long FORGET = 60_000_000;
+    private static final long FORGET_SOON = 5_000_000;
+    private static final int FLOWS = 1_024;
     private static final int REMARKS = 60;
 
     private final Settings settings;
@@ -253,7 +255,10 @@
 
         /** Free tokens; what was overtaken by a later answer and is past its aim is lost, and holds none. */
         double tokens(long now) {
-            long live = out.stream().filter(a -> a.sentAt >= overtook || a.aims(now - a.sentAt) < 1).count();
+            int live = 0;
+            for (Attempt a : out) {
+                live += a.sentAt >= overtook || a.aims(now - a.sentAt) < 1 ? 1 : 0;
+            }
             return Math.min(window - live, OUT_MAX - out.size());
         }
     }
@@ -646,10 +651,14 @@
         while (!extras.isEmpty() && extras.peekFirst() < now - rules.extraWindow() * WINDOW_SLACK) {
             extras.pollFirst();
         }
+        forgetTaken();
+        return extras.size() + 1 <= rules.freeExtras() + rules.extraRatio() * taken.size();
+    }
+
+    private void forgetTaken() {
         while (!taken.isEmpty() && taken.peekFirst() < now - rules.extraWindow() / WINDOW_SLACK) {
             taken.pollFirst();
         }
-        return extras.size() + 1 <= rules.freeExtras() + rules.extraRatio() * taken.size();
     }
 
     /** Held units of a volume that its part of the limit cannot cover in time: refused at once. */
@@ -915,6 +924,14 @@
         }
         sweptAt = now;
         keys.values().removeIf(line -> line.waiting.isEmpty() && now >= line.restUntil);
-        flows.values().removeIf(f -> f.held == 0 && f.inFlight == 0 && now - f.lastArrival > FORGET);
+        long quiet = flows.size() > FLOWS ? FORGET_SOON : FORGET;
+        flows.values().removeIf(f -> f.held == 0 && f.inFlight == 0 && now - f.lastArrival > quiet);
+        // Where nodes are replaced all day under new names, or clients name shards that never were. What a
+        // shard's nodes served is kept for the next one, which starts cold.
+        nodes.values().removeIf(n -> !n.usable && n.out.isEmpty());
+        long unasked = lanes.size() > FLOWS ? FORGET_SOON : FORGET;
+        lanes.values().removeIf(lane -> lane.held.isEmpty() && now - lane.askedAt > unasked
+                && nodes.values().stream().noneMatch(n -> n.shard == lane.shard));
+        forgetTaken();
     }
 }
--- /dev/null
+++ b/policy/src/test/java/garnetreel/policy/ForgettingTest.java
@@ -0,0 +1,90 @@
+package garnetreel.policy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.policy.Scheduler.Action;
+import garnetreel.policy.Scheduler.Arrived;
+import garnetreel.policy.Scheduler.Ended;
+import garnetreel.policy.Scheduler.Event;
+import garnetreel.policy.Scheduler.ListKind;
+import garnetreel.policy.Scheduler.NodeNews;
+import garnetreel.policy.Scheduler.NodeState;
+import garnetreel.policy.Scheduler.Outcome;
+import garnetreel.policy.Scheduler.Send;
+import java.lang.reflect.Field;
+import java.lang.reflect.Modifier;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What a module remembers of nodes, shards, volumes and requests must not grow with the length of its life. Before, nodes
+ * that had left, shards that clients had named, and the times of requests taken while no attempt failed stayed for good.
+ */
+class ForgettingTest {
+    private static final int ROUNDS = 4_000;
+    /** Traces of what was given up have a bound of their own. */
+    private static final int MOST = 6_000;
+
+    private static Map<String, Integer> sizes(Control control) throws IllegalAccessException {
+        Map<String, Integer> sizes = new TreeMap<>();
+        for (Field field : Control.class.getDeclaredFields()) {
+            field.setAccessible(true);
+            Object value = Modifier.isStatic(field.getModifiers()) ? null : field.get(control);
+            if (value instanceof Map<?, ?> map) {
+                sizes.put(field.getName(), map.size());
+            } else if (value instanceof Collection<?> some) {
+                sizes.put(field.getName(), some.size());
+            }
+        }
+        return sizes;
+    }
+
+    private static long served(Control control, long at, long id, long volume, int shard) {
+        long now = at;
+        List<Event> told = List.of(new Arrived(id, "read", "free", id, now + 2_000_000, volume, 1, shard, 1, false, false));
+        while (!told.isEmpty()) {
+            List<Event> next = new ArrayList<>();
+            for (Action action : control.turn(now, told)) {
+                if (action instanceof Send send) {
+                    next.add(new Ended(send.id(), 0, send.node(), Outcome.OK, 5_000, true, 0, 0, Map.of()));
+                }
+            }
+            now += 5_000;
+            told = next;
+        }
+        return now;
+    }
+
+    @Test
+    void nodesAreReplacedAllDay() throws IllegalAccessException {
+        Control control = new Control(Bench.settings(), 1);
+        long now = 1_000_000;
+        Map<String, Integer> half = Map.of();
+        for (int round = 1; round <= ROUNDS; round++) {
+            control.turn(now, List.of(new NodeNews(round == 1 ? ListKind.ALL : ListKind.CHANGES, List.of(
+                    Bench.entry("n" + (round - 1), 0, NodeState.GONE, 0), Bench.entry("n" + round, 0, NodeState.UP, 0)))));
+            now = served(control, now, round, 1, 0) + 100_000;
+            half = round == ROUNDS / 2 ? sizes(control) : half;
+        }
+        Map<String, Integer> end = sizes(control);
+        assertTrue(end.get("nodes") <= 12, "nodes that left are forgotten: " + end);
+        for (String table : end.keySet()) {
+            assertTrue(end.get(table) <= half.get(table) + 8, table + " grew from " + half + " to " + end);
+        }
+    }
+
+    @Test
+    void clientsNameShardsAndVolumesThatNeverWere() throws IllegalAccessException {
+        Control control = new Control(Bench.settings(), 1);
+        long now = 1_000_000;
+        control.turn(now, List.of(new NodeNews(ListKind.ALL, List.of(Bench.entry("n0", 0, NodeState.UP, 0)))));
+        for (int round = 1; round <= 5 * ROUNDS; round++) {
+            now = served(control, now, round, round, round) + 5_000;
+        }
+        sizes(control).forEach((table, size) -> assertTrue(size <= MOST, table + " holds " + size));
+    }
+}
