Timers are whole milliseconds, and after a stall sockets are looked at before time limits

Lines: Driver.turn() and the timer in setTimer(). A turn more than 10 ms late now waits for one selection.

Also: XNIO cuts timers to whole milliseconds and runs one of none at once, so a wait of 1.9 ms spun through its last 0.9; they are rounded up.

--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -58,6 +58,12 @@
     private static final int TURNS_AT_ONCE = 16;
     /** XNIO counts timers in whole milliseconds: a shorter one is a task, which runs before the selection. */
     private static final long YIELD_MILLIS = 1;
+    /**
+     * A turn this late tells that the process stood still. Guards against ending what has come meanwhile: XNIO runs timers
+     * before it selects, so a head that got no CPU for 250 ms dropped connections that stood and answers that lay there
+     * (four shelves at once "broken off" in the first second after a restart). The sockets are looked at first.
+     */
+    private static final long STALLED = 10_000;
     /** Longest wait without a look at the machine's alarm. */
     private static final long LONGEST_WAIT = 3_600_000_000L;
 
@@ -80,6 +86,7 @@
     private final XnioIoThread io;
     /** When the earliest timer that is set will call for a turn. */
     private long timerAt = Long.MAX_VALUE;
+    private long lastTurn;
     private boolean yielding;
     private volatile boolean dead;
     private volatile long stalledUntil = Long.MIN_VALUE;
@@ -161,7 +168,7 @@
             int turns = 0;
             do {
                 oneTurn();
-            } while (!dead && ++turns < TURNS_AT_ONCE && machine.wakeAt() <= clock.micros());
+            } while (!dead && ++turns < TURNS_AT_ONCE && dueNow(machine.wakeAt()));
             setTimer(machine.wakeAt());
         } catch (RuntimeException | Error e) {
             log.error("{} broke and ends", name, e);
@@ -171,12 +178,19 @@
         }
     }
 
+    /** Whether a turn is due that need not wait for a look at the sockets. */
+    private boolean dueNow(long wake) {
+        long late = clock.micros() - wake;
+        return late >= 0 && (late < STALLED || wake <= lastTurn);
+    }
+
     private void oneTurn() {
         while (!dead && clock.micros() < stalledUntil) {
             LockSupport.parkNanos((stalledUntil - clock.micros()) * 1000);
         }
         List<NetEvent> events = inbox.take();
-        machine.turn(clock.micros(), events, actions);
+        lastTurn = clock.micros();
+        machine.turn(lastTurn, events, actions);
         for (NetAction action : actions) {
             perform(action);
         }
@@ -198,24 +212,41 @@
             // Guards against a machine that always wants another turn: XNIO runs all tasks and timers that are due before
             // it selects, so such a one would never be told anything again (with a timer of 1 us a map service that asked
             // for turn after turn did not read a report for 2 s). One timer at a time, and not due before the selection.
-            if (!yielding) {
-                yielding = true;
-                io.executeAfter(() -> {
-                    yielding = false;
-                    turn();
-                }, YIELD_MILLIS, TimeUnit.MILLISECONDS);
-            }
+            afterSelection();
         } else if (wake < timerAt && wake != Long.MAX_VALUE) {
             timerAt = wake;
             io.executeAfter(() -> {
                 if (timerAt == wake) {
                     timerAt = Long.MAX_VALUE;
                 }
+                if (clock.micros() - wake < STALLED) {
+                    turn();
+                } else {
+                    afterSelection();
+                }
+            }, wholeMillis(Math.min(LONGEST_WAIT, wake - now)), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Gives a turn once sockets have been looked at. */
+    private void afterSelection() {
+        if (!yielding) {
+            yielding = true;
+            io.executeAfter(() -> {
+                yielding = false;
                 turn();
-            }, Math.min(LONGEST_WAIT, wake - now), TimeUnit.MICROSECONDS);
+            }, YIELD_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
+    /**
+     * Time of a timer, rounded up. Guards against spinning: XNIO cuts a timer to whole milliseconds and runs one of none at
+     * once, so a machine that was to wake in 1.9 ms got turn after turn through the last 0.9. An alarm comes up to 1 ms late.
+     */
+    static long wholeMillis(long micros) {
+        return Math.max(1, (micros + 999) / 1_000);
+    }
+
     private void flush() {
         for (Wire wire : written) {
             int left = wire.flush();
--- a/net/src/test/java/garnetreel/net/DriverTest.java
+++ b/net/src/test/java/garnetreel/net/DriverTest.java
@@ -5,11 +5,16 @@
 import garnetreel.core.io.Machine;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetEvent;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
 class DriverTest {
@@ -52,4 +57,86 @@
             }
         }
     }
+
+    /** XNIO runs a timer of less than a millisecond at once, and cuts all others down to whole ones. */
+    @Test
+    void timersAreWholeMillisecondsAndNeverNone() {
+        assertEquals(1, Driver.wholeMillis(1));
+        assertEquals(1, Driver.wholeMillis(999));
+        assertEquals(1, Driver.wholeMillis(1_000));
+        assertEquals(2, Driver.wholeMillis(1_001));
+        assertEquals(2, Driver.wholeMillis(1_900));
+    }
+
+    private record Go() implements NetEvent.Order { }
+
+    /**
+     * Connects at an order, with a time limit. Then it stands still, as a process without CPU does, until the connection is
+     * accepted, its timer is due and the limit has passed.
+     */
+    private static final class Stalling implements Machine {
+        private static final long LIMIT = 2_000;
+        private static final long TIMER_DUE_NANOS = 10_000_000;
+        final CompletableFuture<String> end = new CompletableFuture<>();
+        final CountDownLatch accepted = new CountDownLatch(1);
+        final AtomicLong clock = new AtomicLong(1_000_000);
+        private final long until = clock.get() + LIMIT;
+        private final String to;
+        private boolean connecting;
+        private boolean over;
+
+        Stalling(String to) {
+            this.to = to;
+        }
+
+        @Override
+        public void turn(long now, List<NetEvent> events, List<NetAction> actions) {
+            for (NetEvent event : events) {
+                if (event instanceof NetEvent.Told) {
+                    connecting = true;
+                    actions.add(new NetAction.Connect(-1, to));
+                } else if (event instanceof NetEvent.Connected) {
+                    over = true;
+                    end.complete("connected");
+                }
+            }
+            if (!over && now >= until) {
+                over = true;
+                end.complete("given up");
+            }
+        }
+
+        @Override
+        public long wakeAt() {
+            if (connecting) {
+                connecting = false;
+                try {
+                    accepted.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                for (long start = System.nanoTime(); System.nanoTime() - start < TIMER_DUE_NANOS;) {
+                    Thread.onSpinWait();
+                }
+                clock.addAndGet(10_000_000);
+            }
+            return over ? Long.MAX_VALUE : until;
+        }
+    }
+
+    /** Before, the turn after a stall came ahead of what lay in the sockets, and gave up a connection that stood. */
+    @Test
+    @org.junit.jupiter.api.Timeout(60)
+    void whatCameDuringAStallIsSeenBeforeTimeLimits() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Stalling machine = new Stalling("127.0.0.1:" + server.getLocalPort());
+            try (Driver driver = new Driver("stalling", machine, machine.clock::get, (name, data) -> { }).start()) {
+                driver.tell(new Go());
+                try (Socket socket = server.accept()) {
+                    machine.accepted.countDown();
+                    assertEquals("connected", machine.end.get(30, TimeUnit.SECONDS), socket.toString());
+                }
+            }
+        }
+    }
 }
