--- a/cli/src/main/java/garnetreel/cli/Main.java
+++ b/cli/src/main/java/garnetreel/cli/Main.java
@@ -17,6 +17,9 @@
     public static final int FINE = 0;
     public static final int FAILED = 1;
     public static final int USAGE = 2;
+    /** XNIO logs by JBoss Logging, which is told here where to. */
+    static final String LOGGING_PROVIDER = "org.jboss.logging.provider";
+    static final String LOGGING_BY = "slf4j";
 
     @Option(names = "--log", description = "Form of log lines on standard error: ${COMPLETION-CANDIDATES}.",
             defaultValue = "plain", scope = CommandLine.ScopeType.INHERIT)
@@ -38,7 +41,7 @@
      * @param also commands besides those of the service
      */
     public static int run(List<Object> also, String... arguments) {
-        System.setProperty("org.jboss.logging.provider", "slf4j");
+        System.setProperty(LOGGING_PROVIDER, LOGGING_BY);
         Main main = new Main();
         CommandLine line = new CommandLine(main);
         also.forEach(line::addSubcommand);
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/PlatformMain.java
@@ -0,0 +1,96 @@
+package garnetreel.cli;
+
+import garnetreel.core.platform.PlatformHead;
+import garnetreel.core.platform.PlatformSettings;
+import garnetreel.net.Driver;
+import garnetreel.policy.Control;
+import garnetreel.settings.JsonException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs one head of the users' platform until it has ended. Its own main skips the command line's library: a restart is an
+ * outage, and that library's classes, of a format too old for a class-data archive, took a third of the time to be ready
+ * (docs/platform.md).
+ */
+public final class PlatformMain {
+    /** Names the file with the configuration. */
+    static final String VARIABLE = "NODE_CONFIG";
+
+    private final Logger log = LoggerFactory.getLogger("garnetreel.platform");
+    private final Path file;
+
+    PlatformMain(Path file) {
+        this.file = file;
+    }
+
+    /** Exits as the sub-command {@code platform} does. */
+    public static void main(String[] arguments) {
+        String file = System.getenv(VARIABLE);
+        if (file == null || arguments.length > 0) {
+            System.err.println("garnetreel: takes no arguments; " + VARIABLE + " names the configuration");
+            System.exit(Main.USAGE);
+        }
+        startLean();
+        int code;
+        try {
+            code = new PlatformMain(Path.of(file)).run();
+        } catch (IOException e) {
+            System.err.println("garnetreel: " + e.getMessage());
+            code = Main.FAILED;
+        }
+        System.exit(code);
+    }
+
+    /**
+     * Chooses what starts fast, before anything logs. Logging by slf4j-simple spares about 70 ms of CPU against logback.
+     * XNIO offers its workers to JMX, which nobody here reads, and that loads all of the JVM's management (170 ms, 4 MB): with
+     * a builder that is not there it goes without.
+     */
+    static void startLean() {
+        System.setProperty(Main.LOGGING_PROVIDER, Main.LOGGING_BY);
+        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
+        System.setProperty("javax.management.builder.initial", "none");
+    }
+
+    /**
+     * Serves until SIGTERM has been obeyed; gives the exit code.
+     *
+     * @throws IOException when the configuration can't be read or the address not be bound
+     */
+    int run() throws IOException {
+        Process process = new Process();
+        Driver driver = start(process);
+        Signals.on("HUP", () -> reread(driver));
+        Signals.on("TERM", () -> driver.tell(new PlatformHead.Drain()));
+        int code = Process.untilStopped(driver);
+        process.close();
+        log.info("ends with {}", code);
+        return code;
+    }
+
+    /** Starts the head; gives it once it listens. */
+    Driver start(Process process) throws IOException {
+        PlatformSettings settings;
+        try {
+            settings = PlatformSettings.read(Files.readAllBytes(file));
+        } catch (JsonException e) {
+            throw new IOException(file + ": " + e.getMessage(), e);
+        }
+        Driver driver = process.run("head", new PlatformHead(settings, new Control(settings.scheduling(), settings.seed())));
+        log.info("{} listens on {}", settings.name(), Process.bound(driver, PlatformHead.HTTP));
+        return driver;
+    }
+
+    /** A file that can't be read, or is no configuration, changes nothing. */
+    void reread(Driver driver) {
+        try {
+            driver.tell(new PlatformHead.Reconfigure(PlatformSettings.read(Files.readAllBytes(file))));
+        } catch (IOException | JsonException e) {
+            log.warn("{} stays unread and the configuration as it was: {}", file, e.getMessage());
+        }
+    }
+}
