--- a/codec/src/main/java/garnetreel/codec/http/HeadReader.java
+++ b/codec/src/main/java/garnetreel/codec/http/HeadReader.java
@@ -11,59 +11,70 @@
  */
 final class HeadReader {
     private static final int FIRST_ROOM = 512;
+    private static final byte DELETE = 0x7f;
 
     private final int most;
     private final int mostFields;
+    private final String begin;
     private byte[] bytes = new byte[0];
     private int length;
     private int lineStart;
     private String startLine;
     private Fields fields = new Fields();
 
-    HeadReader(int most, int mostFields) {
+    /** @param begin what a head must begin with; noise is known by its first byte, and nobody waits for its end */
+    HeadReader(int most, int mostFields, String begin) {
+        this.begin = begin;
         this.most = most;
         this.mostFields = mostFields;
     }
 
     /** Takes bytes up to and including the empty line; true once that has come. */
     boolean read(ByteBuffer in) throws ProtocolException {
-        while (in.hasRemaining()) {
-            byte one = in.get();
-            if (length == most) {
-                throw new ProtocolException("head of more than " + most + " bytes");
-            }
-            if (length == bytes.length) {
-                bytes = Arrays.copyOf(bytes, Math.min(most, Math.max(FIRST_ROOM, 2 * bytes.length)));
-            }
-            boolean afterReturn = length > lineStart && bytes[length - 1] == '\r';
-            bytes[length++] = one;
-            if (afterReturn != (one == '\n') || (one & 0xff) < ' ' && one != '\t' && one != '\r' && one != '\n' || one == 0x7f) {
-                throw new ProtocolException("control character in a head, or a line that does not end with CRLF");
+        int part = Math.min(in.remaining(), most - length);
+        if (part == 0 && in.hasRemaining()) {
+            throw new ProtocolException("head of more than " + most + " bytes");
+        }
+        if (length + part > bytes.length) {
+            bytes = Arrays.copyOf(bytes, Math.min(most, Math.max(length + part, Math.max(FIRST_ROOM, 2 * bytes.length))));
+        }
+        in.get(bytes, length, part);
+        int end = length + part;
+        for (int at = length; at < end; at++) {
+            byte one = bytes[at];
+            boolean afterReturn = at > lineStart && bytes[at - 1] == '\r';
+            if (afterReturn != (one == '\n') || one >= 0 && one < ' ' && one != '\t' && one != '\r' && one != '\n'
+                    || one == DELETE || at < begin.length() && one != begin.charAt(at)) {
+                throw new ProtocolException("no head: control character, line that does not end with CRLF, or another protocol");
             }
-            if (one == '\n' && lineEnded()) {
+            if (one == '\n' && lineEnded(at - 1)) {
+                in.position(in.position() - (end - at - 1));
+                length = at + 1;
                 return true;
             }
         }
+        length = end;
+        if (in.hasRemaining()) {
+            throw new ProtocolException("head of more than " + most + " bytes");
+        }
         return false;
     }
 
-    private boolean lineEnded() throws ProtocolException {
-        int end = length - 2;
+    private boolean lineEnded(int end) throws ProtocolException {
         if (end == lineStart) {
             if (startLine == null) {
                 throw new ProtocolException("empty start line");
             }
             return true;
         }
-        String line = new String(bytes, lineStart, end - lineStart, StandardCharsets.ISO_8859_1);
         if (startLine == null) {
-            startLine = line;
+            startLine = new String(bytes, 0, end, StandardCharsets.ISO_8859_1);
         } else if (fields.size() == mostFields) {
             throw new ProtocolException("more than " + mostFields + " header fields");
         } else {
-            fields.addLine(line);
+            fields.addLine(bytes, lineStart, end);
         }
-        lineStart = length;
+        lineStart = end + 2;
         return false;
     }
 
--- a/codec/src/main/java/garnetreel/codec/http/RequestParser.java
+++ b/codec/src/main/java/garnetreel/codec/http/RequestParser.java
@@ -15,7 +15,7 @@
     public static final int BODY_MOST = 64 << 10;
     private static final int LENGTH_DIGITS = 18;
 
-    private final HeadReader head = new HeadReader(HEAD_MOST, FIELDS_MOST);
+    private final HeadReader head = new HeadReader(HEAD_MOST, FIELDS_MOST, "");
     private BodyReader body;
     private String method;
     private String target;
@@ -51,8 +51,11 @@
         }
         method = line.substring(0, first);
         target = line.substring(first + 1, last);
-        if (!method.chars().allMatch(c -> Fields.tokenMark((char) c)) || target.charAt(0) != '/'
-                || !target.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
+        boolean visible = target.charAt(0) == '/';
+        for (int i = 0; visible && i < target.length(); i++) {
+            visible = target.charAt(i) > ' ' && target.charAt(i) < 0x7f;
+        }
+        if (!visible || !Fields.token(method)) {
             throw new ProtocolException("method or target that is none");
         }
     }
@@ -72,7 +75,11 @@
         if (text == null) {
             return otherwise;
         }
-        if (text.isEmpty() || text.length() > LENGTH_DIGITS || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+        boolean digits = !text.isEmpty() && text.length() <= LENGTH_DIGITS;
+        for (int i = 0; digits && i < text.length(); i++) {
+            digits = text.charAt(i) >= '0' && text.charAt(i) <= '9';
+        }
+        if (!digits) {
             throw new ProtocolException("Content-Length that is none");
         }
         return Long.parseLong(text);
--- a/codec/src/main/java/garnetreel/codec/http/ResponseParser.java
+++ b/codec/src/main/java/garnetreel/codec/http/ResponseParser.java
@@ -12,12 +12,16 @@
     private static final int FIELDS_MOST = 96;
     /** Interim answers ahead of one answer; more are taken for noise. */
     private static final int INTERIM_MOST = 16;
+    private static final String VERSION = "HTTP/1.1 ";
+    private static final int STATUS_END = 12;
+    private static final int STATUS_LEAST = 100;
+    private static final int STATUS_MOST = 599;
     private static final int SWITCHING = 101;
     private static final int OK = 200;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
-    private final HeadReader head = new HeadReader(HEAD_MOST, FIELDS_MOST);
+    private final HeadReader head = new HeadReader(HEAD_MOST, FIELDS_MOST, VERSION);
     private final int bodyMost;
     private BodyReader body;
     private int status;
@@ -60,10 +64,15 @@
 
     private void begin() throws ProtocolException {
         String line = head.startLine();
-        if (!line.matches("HTTP/1\\.1 [1-5][0-9][0-9]( .*)?")) {
+        status = 0;
+        for (int i = VERSION.length(); i < STATUS_END && i < line.length(); i++) {
+            int digit = line.charAt(i) - '0';
+            status = digit < 0 || digit > 9 ? Integer.MIN_VALUE / 10 : 10 * status + digit;
+        }
+        if (line.length() < STATUS_END || status < STATUS_LEAST || status > STATUS_MOST
+                || line.length() > STATUS_END && line.charAt(STATUS_END) != ' ') {
             throw new ProtocolException("status line that is none of HTTP/1.1");
         }
-        status = Integer.parseInt(line.substring(9, 12));
         if (status < OK) {
             if (status == SWITCHING || ++interim > INTERIM_MOST) {
                 throw new ProtocolException("interim answers that lead nowhere");
--- a/core/src/main/java/garnetreel/core/platform/ClientFront.java
+++ b/core/src/main/java/garnetreel/core/platform/ClientFront.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -42,6 +43,8 @@
 
     private enum State { SILENT, IDLE, BEGUN, BUSY, WRITING }
 
+    private static final State[] STATES = State.values();
+
     private static final class Client {
         final long conn;
         final RequestParser parser = new RequestParser();
@@ -62,7 +65,7 @@
     private final Listener listener;
     private final Map<Long, Client> clients = new HashMap<>();
     /** Clients by state, each in the order in which they came to it. */
-    private final Map<State, LinkedHashMap<Long, Client>> byState = new HashMap<>();
+    private final Map<State, LinkedHashMap<Long, Client>> byState = new EnumMap<>(State.class);
     private boolean draining;
     private List<NetAction> actions = new ArrayList<>();
     private long now;
@@ -71,7 +74,7 @@
     ClientFront(Bounds bounds, Listener listener) {
         this.bounds = bounds;
         this.listener = listener;
-        for (State state : State.values()) {
+        for (State state : STATES) {
             byState.put(state, new LinkedHashMap<>());
         }
     }
@@ -226,13 +229,9 @@
 
     // ---------------------------------------------------------------- time
 
-    /** From now on each answer is its connection's last. */
+    /** Ends connections on which no request is open; from now on each answer is its connection's last. */
     void drain() {
         draining = true;
-    }
-
-    /** Ends connections on which no request is open. */
-    void closeUnused() {
         for (State state : List.of(State.SILENT, State.IDLE, State.BEGUN)) {
             while (closeFirst(state)) {
                 continue;
@@ -255,7 +254,7 @@
 
     long wakeAt() {
         long next = Long.MAX_VALUE;
-        for (State state : State.values()) {
+        for (State state : STATES) {
             if (!in(state).isEmpty()) {
                 next = Math.min(next, in(state).values().iterator().next().since + most(state));
             }
@@ -264,7 +263,7 @@
     }
 
     void expire() {
-        for (State state : State.values()) {
+        for (State state : STATES) {
             while (!in(state).isEmpty()) {
                 Client oldest = in(state).values().iterator().next();
                 if (now - oldest.since < most(state)) {
--- a/core/src/main/java/garnetreel/core/platform/Facts.java
+++ b/core/src/main/java/garnetreel/core/platform/Facts.java
@@ -11,7 +11,7 @@
  */
 record Facts(String volume, int units, int shard, int hosts) {
     private static final int HEX_DIGITS = 16;
-    private static final String WHOLE = "[0-9]{1,6}";
+    private static final int DIGITS_MOST = 6;
 
     /** Reads {@code volume=16hex,units=2,shard=5,hosts=3}; names that are not known are passed over. */
     static Facts read(String text) throws ProtocolException {
@@ -22,7 +22,11 @@
         int units = 0;
         int shard = -1;
         int hosts = 0;
-        for (String part : text.split(",", -1)) {
+        int comma;
+        for (int from = 0; from <= text.length(); from = comma + 1) {
+            comma = text.indexOf(',', from);
+            comma = comma < 0 ? text.length() : comma;
+            String part = text.substring(from, comma);
             int equals = part.indexOf('=');
             String value = part.substring(equals + 1).strip();
             switch (equals < 0 ? "" : part.substring(0, equals).strip()) {
@@ -40,13 +44,18 @@
     }
 
     private static int whole(String text) throws ProtocolException {
-        if (!text.matches(WHOLE)) {
+        long number = Digits.whole(text, DIGITS_MOST);
+        if (number < 0) {
             throw new ProtocolException(Headers.FACTS + " holds \"" + text + "\" for a number");
         }
-        return Integer.parseInt(text);
+        return (int) number;
     }
 
     static boolean hex(String text) {
-        return text.length() == HEX_DIGITS && text.chars().allMatch(c -> Character.digit(c, 16) >= 0 && c < 0x80);
+        boolean hex = text.length() == HEX_DIGITS;
+        for (int i = 0; hex && i < HEX_DIGITS; i++) {
+            hex = text.charAt(i) < 0x80 && Character.digit(text.charAt(i), 16) >= 0;
+        }
+        return hex;
     }
 }
--- a/core/src/main/java/garnetreel/core/platform/PlatformHead.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformHead.java
@@ -162,7 +162,7 @@
         } else if (order instanceof Drain && !draining) {
             draining = true;
             stopAcceptingAt = now + ACCEPT_ON;
-            front.drain();
+            actions.add(new NetAction.Note(Level.INFO, "ends: " + held()));
         }
     }
 
@@ -209,15 +209,16 @@
         }
     }
 
+    /** The end by steps: first all goes on, then nothing new is taken, and what was taken is answered. */
     private void end(List<NetAction> actions) {
         if (now >= stopAcceptingAt) {
             stopAcceptingAt = Long.MAX_VALUE;
             actions.add(new NetAction.Unlisten(HTTP));
-            front.closeUnused();
+            actions.add(new NetAction.Note(Level.INFO, "takes nothing more: " + held()));
+            front.drain();
         }
         if (draining && stopAcceptingAt == Long.MAX_VALUE && !stopped && front.open() == 0) {
             stopped = true;
-            front.closeUnused();
             actions.add(new NetAction.Stopped());
         }
     }
--- a/core/src/main/java/garnetreel/core/platform/RequestTable.java
+++ b/core/src/main/java/garnetreel/core/platform/RequestTable.java
@@ -20,9 +20,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 
@@ -33,7 +35,7 @@
 final class RequestTable {
     /** The module answers ahead of a deadline; one that is this late is the module's defect, and is failed here. */
     private static final long OVERDUE = 20_000;
-    private static final double MICROS = 1e6;
+    private static final int UNITS_DIGITS = 9;
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
@@ -69,6 +71,7 @@
     private final ClientFront front;
     private final Consumer<Event> module;
     private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Set<String> plans = new HashSet<>();
     private final Map<Long, Operation> operations = new HashMap<>();
     private final Map<String, Operation> byId = new HashMap<>();
     private final Map<Long, Operation> byConn = new HashMap<>();
@@ -86,6 +89,7 @@
         this.front = front;
         this.module = module;
         settings.scheduling().classes().forEach(c -> classes.put(c.name(), c));
+        settings.scheduling().plans().forEach(p -> plans.add(p.name()));
     }
 
     void at(long time, List<NetAction> to) {
@@ -142,7 +146,7 @@
     private Arrived event(HttpRequest request, RequestClass kind, boolean write) throws ProtocolException {
         Fields fields = request.fields();
         String plan = fields.only(Headers.PLAN);
-        if (settings.scheduling().plans().stream().noneMatch(p -> p.name().equals(plan))) {
+        if (plan == null || !plans.contains(plan)) {
             throw new ProtocolException("no such plan");
         }
         String key = hex(fields, Headers.KEY, false);
@@ -167,12 +171,9 @@
     }
 
     private static long timeLeft(String text) throws ProtocolException {
-        if (text == null || !text.matches("[0-9]{1,9}(\\.[0-9]{1,9})?")) {
-            throw new ProtocolException(Headers.TIME_LEFT + " is no number of seconds");
-        }
-        long left = (long) (Double.parseDouble(text) * MICROS);
+        long left = text == null ? -1 : Digits.micros(text);
         if (left <= 0) {
-            throw new ProtocolException(Headers.TIME_LEFT + " leaves no time");
+            throw new ProtocolException(Headers.TIME_LEFT + " is no time left in seconds");
         }
         return left;
     }
@@ -195,7 +196,7 @@
         Fields fields = operation.request.fields();
         HttpWriter writer = HttpWriter.request(operation.request.method(), operation.request.target(), Headers.HOST)
                 .field(Headers.ID, fields.first(Headers.ID))
-                .field(Headers.TIME_LEFT, seconds(Math.max(1_000, until - now)));
+                .field(Headers.TIME_LEFT, Digits.seconds(Math.max(1_000, until - now)));
         for (String name : List.of(Headers.PLAN, Headers.KEY, Headers.FACTS)) {
             if (fields.has(name)) {
                 writer.field(name, fields.first(name));
@@ -204,17 +205,13 @@
         shelves.send(attempt, writer.body(operation.request.body(), operation.request.method().equals("PUT")));
     }
 
-    private static String seconds(long micros) {
-        return String.format(Locale.ROOT, "%d.%03d", micros / 1_000_000, micros / 1_000 % 1_000);
-    }
-
     void refuse(Refuse refuse) {
         finish(operations.get(refuse.id()), refusal(refuse.stayAway()), NOTHING);
     }
 
     private HttpWriter refusal(long stayAway) {
         HttpWriter writer = HttpWriter.response(UNAVAILABLE);
-        return settings.retryAfter() && stayAway > 0 ? writer.field(Headers.RETRY_AFTER, seconds(stayAway)) : writer;
+        return settings.retryAfter() && stayAway > 0 ? writer.field(Headers.RETRY_AFTER, Digits.seconds(stayAway)) : writer;
     }
 
     void fail(Fail fail) {
@@ -261,7 +258,7 @@
     }
 
     void ended(Attempt attempt, Outcome outcome, HttpResponse answer) {
-        Operation operation = operations.get(attempt.request());
+        Operation operation = operations.get(attempt.request);
         operation.out--;
         boolean over = operation.over;
         if (!over && outcome == Outcome.OK) {
@@ -271,14 +268,14 @@
             forgetIfDone(operation);
         }
         Fields fields = answer == null ? new Fields() : answer.fields();
-        module.accept(new Ended(attempt.request(), attempt.number(), attempt.node(), outcome, now - attempt.sentAt(),
+        module.accept(new Ended(attempt.request, attempt.number, attempt.node, outcome, now - attempt.sentAt,
                 over || outcome == Outcome.OK, units(fields.first(Headers.FROM_OTHERS)), 0,
                 LoadReport.read(fields.first(Headers.LOAD))));
     }
 
     /** Units served through other heads; what can't be read counts as none. */
     private static long units(String text) {
-        return text != null && text.matches("[0-9]{1,9}") ? Long.parseLong(text) : 0;
+        return text == null ? 0 : Math.max(0, Digits.whole(text, UNITS_DIGITS));
     }
 
     long wakeAt() {
--- a/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
+++ b/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
@@ -89,8 +89,8 @@
     private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
     private final Map<Long, Link> comingUp = new LinkedHashMap<>();
     private final Map<Attempt, Link> out = new HashMap<>();
-    private final TreeSet<Attempt> timeouts = new TreeSet<>(Comparator.<Attempt>comparingLong(Attempt::until)
-            .thenComparingLong(Attempt::request).thenComparingInt(Attempt::number));
+    private final TreeSet<Attempt> timeouts = new TreeSet<>(Comparator.<Attempt>comparingLong(a -> a.until)
+            .thenComparingLong(a -> a.request).thenComparingInt(a -> a.number));
     private final Map<Long, Link> checks = new LinkedHashMap<>();
     /** Attempts that could not be begun; told in the next turn, since the module is in its own now. */
     private final ArrayDeque<Attempt> unsendable = new ArrayDeque<>();
@@ -161,7 +161,7 @@
 
     /** Starts an attempt. */
     void send(Attempt attempt, ByteBuffer request) {
-        Link link = link(attempt.node());
+        Link link = link(attempt.node);
         if (link == null) {
             unsendable.add(attempt);
             return;
@@ -232,7 +232,7 @@
     /** Stops waiting for an attempt; ending its connection is how a shelf learns that. */
     void cancel(long request, int number) {
         for (Attempt attempt : List.copyOf(out.keySet())) {
-            if (attempt.request() == request && attempt.number() == number) {
+            if (attempt.request == request && attempt.number == number) {
                 Link link = out.get(attempt);
                 boolean unsent = link.unsent != null;
                 drop(link, true);
@@ -352,7 +352,7 @@
         if (!unsendable.isEmpty()) {
             return now;
         }
-        long next = timeouts.isEmpty() ? Long.MAX_VALUE : timeouts.first().until();
+        long next = timeouts.isEmpty() ? Long.MAX_VALUE : timeouts.first().until;
         if (!comingUp.isEmpty()) {
             next = Math.min(next, comingUp.values().iterator().next().since + connectTimeout);
         }
@@ -370,7 +370,7 @@
         for (int left = unsendable.size(); left > 0; left--) {
             listener.ended(unsendable.poll(), Outcome.CONNECT_FAILED, null);
         }
-        while (!timeouts.isEmpty() && timeouts.first().until() <= now) {
+        while (!timeouts.isEmpty() && timeouts.first().until <= now) {
             Link link = out.get(timeouts.first());
             boolean unsent = !link.open || link.toDrain > 0;
             drop(link, true);
--- /dev/null
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -0,0 +1,383 @@
+package garnetreel.core.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.core.io.NetEvent;
+import garnetreel.policy.Control;
+import garnetreel.policy.Scheduler.Abandoned;
+import garnetreel.policy.Scheduler.Action;
+import garnetreel.policy.Scheduler.Arrived;
+import garnetreel.policy.Scheduler.Ended;
+import garnetreel.policy.Scheduler.Event;
+import garnetreel.policy.Scheduler.ListKind;
+import garnetreel.policy.Scheduler.NodeNews;
+import garnetreel.policy.Scheduler.Outcome;
+import garnetreel.policy.Scheduler.Refuse;
+import garnetreel.policy.Scheduler.Send;
+import garnetreel.policy.Scheduler.Watch;
+import garnetreel.settings.Json;
+import garnetreel.settings.JsonException;
+import garnetreel.settings.SettingsReader;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The channel of the platform, from the bytes of clients to those of shelves and back. */
+class PlatformHeadTest {
+    private static final String ID = "9b1f03aa5c7e2d41";
+
+    /** Sends whatever comes to the one shelf. */
+    private static List<Action> toShelf(Event event) {
+        return event instanceof Arrived arrived ? List.of(new Send(arrived.id(), "s-1", 0)) : List.of();
+    }
+
+    private static Rig out(String extra) throws JsonException {
+        Rig rig = new Rig(PlatformHeadTest::toShelf).accept(1).receive(1, Rig.request(ID, extra));
+        return rig.tell(new NetEvent.Connected(rig.lastOpened));
+    }
+
+    private static Outcome outcome(Rig rig) {
+        List<Ended> ended = rig.told(Ended.class);
+        assertEquals(1, ended.size(), "an attempt ends once");
+        return ended.get(0).outcome();
+    }
+
+    @Test
+    void aRequestPassesOnUnchangedAndItsAnswerBack() throws JsonException {
+        Rig rig = out("X-Repeat: 1\r\n");
+        Arrived arrived = rig.told(Arrived.class).get(0);
+        assertEquals("write", arrived.className());
+        assertEquals(rig.now + 480_000, arrived.validUntil());
+        assertTrue(arrived.repeat() && arrived.write());
+        String passed = rig.sent(rig.lastOpened);
+        assertTrue(passed.startsWith("PUT /write/a?b=c HTTP/1.1\r\n") && passed.endsWith("\r\n\r\ndata"), passed);
+        assertTrue(passed.contains("X-Correlation-Id: " + ID + "\r\n") && passed.contains("X-Time-Left: 0.480\r\n"), passed);
+        rig.receive(rig.lastOpened, Rig.answer("result", "Other-Hosts: 5\r\nX-Backend-Load: {\"latency_ms\":2.5}\r\n"));
+        assertTrue(rig.sent(1).startsWith("HTTP/1.1 200 ") && rig.sent(1).endsWith("result"), rig.sent(1));
+        Ended ended = rig.told(Ended.class).get(0);
+        assertEquals(5, ended.fromOthers());
+        assertEquals(2.5, ended.load().get("latency_ms"));
+        assertEquals(new PlatformHead.Held(1, 0, 1, 0), rig.head.held());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"503 x,X-Unprocessed: 1,FULL", "504 x,X-Unprocessed: 1,MOOT", "503 x,A: b,ERROR", "500 x,A: b,ERROR", "400 x,A: b,ERROR"})
+    void whatComesBackHasOneMeaning(String status, String field, Outcome expected) throws JsonException {
+        Rig rig = out("");
+        rig.receive(rig.lastOpened, "HTTP/1.1 " + status + "\r\n" + field + "\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(expected, outcome(rig));
+    }
+
+    @Test
+    void aBreakIsARunOnlyAfterTheLastByte() throws JsonException {
+        Rig refused = new Rig(PlatformHeadTest::toShelf).accept(1).receive(1, Rig.request(ID, ""));
+        refused.tell(new NetEvent.Closed(refused.lastOpened, false, "refused"));
+        assertEquals(Outcome.CONNECT_FAILED, outcome(refused));
+        Rig unwritten = new Rig(PlatformHeadTest::toShelf).accept(1).receive(1, Rig.request(ID, ""));
+        unwritten.unread.add(unwritten.lastOpened);
+        unwritten.tell(new NetEvent.Connected(unwritten.lastOpened));
+        unwritten.tell(new NetEvent.Drained(unwritten.lastOpened, 20), new NetEvent.Closed(unwritten.lastOpened, true, "reset"));
+        assertEquals(Outcome.CONNECT_FAILED, outcome(unwritten));
+        Rig written = out("");
+        written.tell(new NetEvent.Closed(written.lastOpened, true, "reset"));
+        assertEquals(Outcome.RESET, outcome(written));
+        Rig silent = new Rig(PlatformHeadTest::toShelf).accept(1).receive(1, Rig.request(ID, ""));
+        silent.pass(300_000);
+        assertEquals(Outcome.CONNECT_FAILED, outcome(silent));
+        assertTrue(silent.closed.contains(silent.lastOpened));
+    }
+
+    /** A shelf that vanished says nothing; the attempt ends with the client's time, and so does its connection. */
+    @Test
+    void silenceEndsWithTheClientsTime() throws JsonException {
+        Rig rig = out("");
+        rig.pass(479_000);
+        assertEquals(0, rig.told(Ended.class).size());
+        rig.pass(2_000);
+        assertEquals(Outcome.TIMEOUT, outcome(rig));
+        assertTrue(rig.closed.contains(rig.lastOpened));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"noise", "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nabc", "HTTP/1.1 200 OK\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"})
+    void aSpoiltAnswerMayHaveRunAndIsNotServed(String answer) throws JsonException {
+        Rig rig = out("");
+        rig.receive(rig.lastOpened, answer.equals("noise") ? "\0\1\2" : answer);
+        assertEquals(Outcome.ERROR, outcome(rig));
+        assertEquals("", rig.sent(1));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Other-Hosts: many\r\n", "X-Backend-Load: {\"latency_ms\":\r\n", "X-Backend-Load: []\r\n",
+        "X-Backend-Load: {\"latency_ms\":\"x\",\"a\":-1}\r\n", "Other-Hosts: -4\r\n"})
+    void anAnswerIsGoodWhateverItsReportSays(String fields) throws JsonException {
+        Rig rig = out("");
+        rig.receive(rig.lastOpened, Rig.answer("result", fields));
+        assertEquals(Outcome.OK, outcome(rig));
+        assertEquals(0, rig.told(Ended.class).get(0).fromOthers());
+        assertTrue(rig.told(Ended.class).get(0).load().isEmpty());
+    }
+
+    /**
+     * A second copy of an answer reads like the answer to the next request. Guards against passing one client's answer to
+     * another: the connection is not used again where bytes follow at once, nor while some may follow.
+     */
+    @Test
+    void whatComesBehindAnAnswerIsNobodys() throws JsonException {
+        Rig rig = out("");
+        long conn = rig.lastOpened;
+        rig.receive(conn, Rig.answer("result", "") + Rig.answer("result", ""));
+        assertTrue(rig.closed.contains(conn));
+        Rig later = out("");
+        long first = later.lastOpened;
+        later.receive(first, Rig.answer("result", "")).receive(1, Rig.request("00000000000000aa", ""));
+        assertTrue(later.lastOpened != first, "the next request does not go behind an answer at once");
+        later.receive(first, Rig.answer("result", ""));
+        assertTrue(later.closed.contains(first));
+        assertEquals(1, later.sent(1).split("HTTP/1.1 200", -1).length - 1);
+        Rig rested = out("");
+        rested.receive(rested.lastOpened, Rig.answer("result", "")).pass(10_000).receive(1, Rig.request("00000000000000aa", ""));
+        assertEquals(2, rested.sent(rested.lastOpened).split("PUT ", -1).length - 1, "a rested connection is used again");
+    }
+
+    @Test
+    void idleConnectionsAreClosedAheadOfTheShelf() throws JsonException {
+        Rig rig = out("");
+        rig.receive(rig.lastOpened, Rig.answer("result", "")).pass(10_000_000);
+        assertFalse(rig.closed.contains(rig.lastOpened));
+        rig.pass(1_000_000);
+        assertTrue(rig.closed.contains(rig.lastOpened));
+        assertEquals(0, rig.head.held().shelfConnections());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"X-Correlation-Id: 9b1f03aa5c7e2d41", "Tier: gold", "X-Time-Left: 0.480", "IO-Info: " + Rig.FACTS})
+    void aRequestLacksNothing(String field) throws JsonException {
+        Rig rig = new Rig(PlatformHeadTest::toShelf).accept(1).receive(1, Rig.request(ID, "").replace(field + "\r\n", ""));
+        assertTrue(rig.sent(1).startsWith("HTTP/1.1 400 "), rig.sent(1));
+        assertEquals(0, rig.told(Arrived.class).size());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"X-Time-Left: 0.480,X-Time-Left: NaN", "X-Time-Left: 0.480,X-Time-Left: -1", "X-Time-Left: 0.480,X-Time-Left: 0",
+        "X-Time-Left: 0.480,X-Time-Left: Infinity", "X-Time-Left: 0.480,X-Time-Left: 1e9", "X-Time-Left: 0.480,X-Time-Left: 1.",
+        "Tier: gold,Tier: none", "9b1f03aa5c7e2d41,xyz", "units=2,units=-2", "units=2,units=0", "shard=0,shard=-2",
+        "00000003b4d60021,3", "7f3a9c21e0b4d655,7f", "write/a,erase/a", "PUT,POST", "PUT,DELETE"})
+    void whatCannotBeARequestIsAnErrorAtOnce(String good, String bad) throws JsonException {
+        Rig rig = new Rig(PlatformHeadTest::toShelf).accept(1).receive(1, Rig.request(ID, "").replace(good, bad));
+        assertTrue(rig.sent(1).startsWith("HTTP/1.1 4"), rig.sent(1));
+        assertEquals(0, rig.told(Arrived.class).size());
+        assertEquals(0, rig.head.held().requests());
+    }
+
+    /** The id of another's open request: passing it on would be a second copy. */
+    @Test
+    void anIdIsOpenOnce() throws JsonException {
+        Rig rig = out("").accept(2).receive(2, Rig.request(ID.toUpperCase(Locale.ROOT), ""));
+        assertTrue(rig.sent(2).startsWith("HTTP/1.1 409 "), rig.sent(2));
+        rig.tell(new NetEvent.Closed(1, true, "left"));
+        assertEquals(1, rig.told(Abandoned.class).size());
+        rig.receive(2, Rig.request(ID, ""));
+        assertEquals(2, rig.sent(2).split("409", -1).length - 1, "its attempt is still out");
+        rig.receive(rig.lastOpened, Rig.answer("result", "")).receive(2, Rig.request(ID, ""));
+        assertEquals(2, rig.told(Arrived.class).size());
+    }
+
+    @Test
+    void aClientThatLeavesLeavesNothingBehind() throws JsonException {
+        Rig rig = out("");
+        rig.tell(new NetEvent.Closed(1, true, "left")).pass(500_000);
+        assertEquals(Outcome.TIMEOUT, outcome(rig));
+        assertTrue(rig.told(Ended.class).get(0).done());
+        assertEquals(new PlatformHead.Held(0, 0, 0, 0), rig.head.held());
+    }
+
+    @Test
+    void silentAndSlowClientsAreClosed() throws JsonException {
+        Rig rig = new Rig(PlatformHeadTest::toShelf).accept(1).accept(2).receive(2, "GET /read HTT");
+        rig.pass(2_100_000);
+        assertTrue(rig.closed.containsAll(List.of(1L, 2L)));
+        assertEquals(0, rig.head.held().clients());
+    }
+
+    /** Hundreds that say nothing make room for one that asks, however few descriptors there are. */
+    @Test
+    void silentConnectionsKeepNobodyOut() throws JsonException {
+        Rig rig = new Rig(256, (now, told) -> told.stream().flatMap(e -> toShelf(e).stream()).toList());
+        for (long conn = 1; conn <= 600; conn++) {
+            rig.accept(conn);
+        }
+        assertTrue(rig.head.held().clients() <= 128, "bound of clients");
+        rig.accept(601).receive(601, Rig.request(ID, ""));
+        for (long conn = 602; conn <= 900; conn++) {
+            rig.accept(conn);
+        }
+        assertFalse(rig.closed.contains(601L));
+        assertEquals(1, rig.told(Arrived.class).size());
+    }
+
+    @Test
+    void aClientThatReadsNothingHoldsOneAnswer() throws JsonException {
+        Rig rig = out("");
+        rig.unread.add(1L);
+        rig.receive(rig.lastOpened, Rig.answer("result", ""));
+        for (int i = 0; i < 50; i++) {
+            rig.receive(1, Rig.request("00000000000000" + (10 + i), ""));
+        }
+        assertEquals(1, rig.told(Arrived.class).size());
+        rig.pass(5_100_000);
+        assertTrue(rig.closed.contains(1L));
+    }
+
+    @Test
+    void aPipelinedRequestWaitsForTheFirst() throws JsonException {
+        Rig rig = new Rig(PlatformHeadTest::toShelf).accept(1)
+                .receive(1, Rig.request(ID, "") + Rig.request("00000000000000aa", ""));
+        assertEquals(1, rig.told(Arrived.class).size());
+        rig.tell(new NetEvent.Connected(rig.lastOpened)).receive(rig.lastOpened, Rig.answer("result", ""));
+        assertEquals(2, rig.told(Arrived.class).size());
+    }
+
+    @Test
+    void aRefusalSaysWhenToComeBack() throws JsonException {
+        Rig rig = new Rig(e -> e instanceof Arrived a ? List.of(new Refuse(a.id(), 1_500_000)) : List.of());
+        rig.accept(1).receive(1, Rig.request(ID, ""));
+        assertTrue(rig.sent(1).startsWith("HTTP/1.1 503 ") && rig.sent(1).contains("Retry-After: 1.500\r\n"), rig.sent(1));
+    }
+
+    /** A module that never answers is a defect; the client still gets its one answer, and nothing stays. */
+    @Test
+    void whatTheModuleForgetsIsFailed() throws JsonException {
+        Rig rig = new Rig(e -> List.of()).accept(1).receive(1, Rig.request(ID, ""));
+        rig.pass(600_000);
+        assertTrue(rig.sent(1).startsWith("HTTP/1.1 502 "), rig.sent(1));
+        assertEquals(0, rig.head.held().requests());
+    }
+
+    // ---------------------------------------------------------------- discovery
+
+    private static Rig watching() throws JsonException {
+        Rig rig = new Rig(e -> e instanceof NodeNews news && news.kind() == ListKind.REMEMBERED
+                ? List.of(new Watch(true)) : toShelf(e));
+        rig.tell(new NetEvent.Connected(rig.lastOpened));
+        return rig.receive(rig.lastOpened, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                .receive(rig.lastOpened, chunk("{\"seq\":9,\"whole\":true,\"hosts\":[" + Rig.shelf("s-1", 2001, "up", 0) + "]}"));
+    }
+
+    private static String chunk(String line) {
+        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+    }
+
+    private static ListKind last(Rig rig) {
+        List<NodeNews> news = rig.told(NodeNews.class);
+        return news.get(news.size() - 1).kind();
+    }
+
+    @Test
+    void theWatchTellsChangesAndItsEnd() throws JsonException {
+        Rig rig = watching();
+        assertEquals("127.0.0.1:8500", rig.dialled.get(0));
+        assertTrue(rig.sent(rig.lastOpened).startsWith("GET /registry/instances?watch=1 HTTP/1.1\r\n"), "the first list is whole");
+        assertEquals(ListKind.ALL, last(rig));
+        rig.receive(rig.lastOpened, chunk("{\"seq\":10,\"whole\":false,\"hosts\":[" + Rig.shelf("s-1", 2001, "removed", 0) + "]}"));
+        assertEquals(ListKind.CHANGES, last(rig));
+        rig.pass(4_000_000).receive(rig.lastOpened, chunk("")).pass(4_000_000);
+        assertEquals(ListKind.CHANGES, last(rig), "an empty line keeps the watch alive");
+        rig.pass(2_000_000);
+        assertEquals(ListKind.REFUSED, last(rig), "silence ends it");
+        assertTrue(rig.closed.contains(rig.lastOpened));
+    }
+
+    /** An old list would call back shelves that are gone; one told anew after that is believed. */
+    @Test
+    void versionsDoNotGoBack() throws JsonException {
+        Rig rig = watching();
+        int before = rig.told(NodeNews.class).size();
+        rig.receive(rig.lastOpened, chunk("{\"seq\":8,\"whole\":true,\"hosts\":[]}"));
+        assertEquals(ListKind.REFUSED, last(rig));
+        assertEquals(before + 1, rig.told(NodeNews.class).size());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "garbage\r\n", "closed"})
+    void aFailedCallIsTold(String answer) throws JsonException {
+        Rig rig = new Rig(e -> e instanceof NodeNews n && n.kind() == ListKind.REMEMBERED ? List.of(new Watch(true)) : List.of());
+        rig.tell(new NetEvent.Connected(rig.lastOpened));
+        if (answer.equals("closed")) {
+            rig.tell(new NetEvent.Closed(rig.lastOpened, true, "reset"));
+        } else {
+            rig.receive(rig.lastOpened, answer);
+        }
+        assertEquals(ListKind.REFUSED, last(rig));
+    }
+
+    @Test
+    void discoveryMovesInMidWatch() throws JsonException {
+        Rig rig = watching();
+        String moved = String.format(Rig.CONFIG, 512, "").replace("127.0.0.1:8500", "127.0.0.1:8501");
+        rig.tell(new NetEvent.Told(new PlatformHead.Reconfigure(PlatformSettings.read(moved.getBytes(StandardCharsets.UTF_8)))));
+        assertEquals("127.0.0.1:8501", rig.dialled.get(1));
+        rig.tell(new NetEvent.Connected(rig.lastOpened));
+        assertTrue(rig.sent(rig.lastOpened).startsWith("GET /registry/instances?watch=1&from=9 "), rig.sent(rig.lastOpened));
+        assertEquals(ListKind.ALL, last(rig), "the module hears of no break");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[]", "{\"name\":\"n0\"}", "{\"listen\":7}"})
+    void whatIsNoConfigurationIsSaid(String text) {
+        assertThrows(JsonException.class, () -> PlatformSettings.read(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Test
+    void adapterAndChannelReadTheSameSettings() throws JsonException {
+        byte[] config = String.format(Rig.CONFIG, 512, "").getBytes(StandardCharsets.UTF_8);
+        Json json = Json.parse(config, 0, config.length, 1);
+        assertEquals(SettingsReader.read(json.child("settings")), PlatformSettings.read(config).scheduling());
+    }
+
+    // ---------------------------------------------------------------- the end, and long life
+
+    @Test
+    void theEndAnswersWhatWasTaken() throws JsonException {
+        Rig rig = out("").accept(2);
+        rig.receive(rig.lastOpened, Rig.answer("result", "")).tell(new NetEvent.Told(new PlatformHead.Drain())).pass(400_000);
+        assertTrue(rig.listening, "connections still come for 0.4 s");
+        rig.accept(3).receive(3, Rig.request("00000000000000aa", "")).pass(110_000);
+        assertFalse(rig.listening);
+        assertTrue(rig.closed.containsAll(List.of(1L, 2L)));
+        assertFalse(rig.stopped || rig.closed.contains(3L), "what was taken is answered first");
+        rig.receive(rig.lastOpened, Rig.answer("result", ""));
+        assertTrue(rig.stopped);
+        assertTrue(rig.sent(3).contains(" 200 ") && rig.sent(3).contains("Connection: close"), rig.sent(3));
+    }
+
+    /** Clients and connections are always new, shelves are replaced all day under new names: nothing may grow. */
+    @Test
+    void aLongDayEndsLevel() throws JsonException {
+        PlatformSettings settings = PlatformSettings.read(String.format(Rig.CONFIG, 512, "").getBytes(StandardCharsets.UTF_8));
+        Rig rig = new Rig(512, new Control(settings.scheduling(), 1));
+        rig.tell(new NetEvent.Connected(rig.lastOpened)).receive(rig.lastOpened, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        long watch = rig.lastOpened;
+        for (int round = 1; round <= 3_000; round++) {
+            rig.receive(watch, chunk("{\"seq\":" + (10 + round) + ",\"whole\":" + (round == 1) + ",\"hosts\":["
+                    + Rig.shelf("s-" + round, 2001, "removed", 0) + "," + Rig.shelf("s-" + (round + 1), 2001, "up", 0) + "]}"));
+            rig.accept(round).receive(round, Rig.request(String.format("%016x", round), ""));
+            long shelf = rig.lastOpened;
+            rig.tell(new NetEvent.Connected(shelf)).receive(shelf, Rig.answer("result", ""));
+            assertTrue(rig.sent(round).contains(" 200 "), "round " + round + ": " + rig.sent(round));
+            rig.events.clear();
+            rig.written.clear();
+            rig.pass(20_000);
+        }
+        PlatformHead.Held held = rig.head.held();
+        assertTrue(held.shelfConnections() <= 1 && held.requests() == 0 && held.clients() <= 309, held.toString());
+    }
+}
