--- a/cli/src/main/java/garnetreel/cli/PlatformMain.java
+++ b/cli/src/main/java/garnetreel/cli/PlatformMain.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -63,9 +64,12 @@
      */
     int run() throws IOException {
         Process process = new Process();
+        // Before it listens: from then on it may be told, and the JVM dies of a signal that has no handler.
+        CompletableFuture<Driver> started = new CompletableFuture<>();
+        Signals.on("HUP", () -> started.thenAccept(this::reread));
+        Signals.on("TERM", () -> started.thenAccept(head -> head.tell(new PlatformHead.Drain())));
         Driver driver = start(process);
-        Signals.on("HUP", () -> reread(driver));
-        Signals.on("TERM", () -> driver.tell(new PlatformHead.Drain()));
+        started.complete(driver);
         int code = Process.untilStopped(driver);
         process.close();
         log.info("ends with {}", code);
