--- a/cli/src/main/java/garnetreel/cli/Rehearsal.java
+++ b/cli/src/main/java/garnetreel/cli/Rehearsal.java
@@ -29,6 +29,10 @@
 
     /** Exits 0 when all went as expected. */
     public static void main(String[] arguments) throws IOException {
+        if (arguments.length != 1) {
+            System.err.println("garnetreel: takes one argument, the file to write its configuration to");
+            System.exit(Main.USAGE);
+        }
         PlatformMain.startLean();
         ServerSocket shelf = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         ServerSocket discovery = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
@@ -37,7 +41,7 @@
                 + "\"site\":\"a\",\"class\":\"c\",\"block\":0,\"health\":\"up\",\"share\":1.0,\"born_ms\":0}]}%n", shelf.getLocalPort());
         serve(discovery, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
                 + "\r\n" + list + "\r\n");
-        Path file = Files.createTempFile("rehearsal", ".json");
+        Path file = Path.of(arguments[0]);
         try (InputStream text = Rehearsal.class.getResourceAsStream("rehearsal.json")) {
             Files.writeString(file, new String(text.readAllBytes(), StandardCharsets.UTF_8).replace("%DISCOVERY%",
                     "127.0.0.1:" + discovery.getLocalPort()));
