Both heads share the module's turns and the notice of a stop; the platform's hard cases get tests

Need: PlatformHead had the alarm queue and the dispatch of actions of Head written again, and lacked Head's defence against a stop of the process: a request that lay in a socket through a pause got its whole time from when it was read, so its answer could be due after its client had given up. Change: core.Decisions (turns, alarms, who does what was decided) and core.Stops serve both heads. A configuration with fewer descriptors than can be shared out, or no memory, is refused with its field.

--- a/cli/src/main/java/garnetreel/cli/Rehearsal.java
+++ b/cli/src/main/java/garnetreel/cli/Rehearsal.java
@@ -34,6 +34,17 @@
             System.exit(Main.USAGE);
         }
         PlatformMain.startLean();
+        System.exit(run(Path.of(arguments[0])));
+    }
+
+    /**
+     * Runs it once.
+     *
+     * @param file where its configuration is written; gone afterwards
+     * @return the head's exit code
+     * @throws IOException when an answer is not the one expected
+     */
+    static int run(Path file) throws IOException {
         ServerSocket shelf = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         ServerSocket discovery = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         serve(shelf, SHELF_ANSWER);
@@ -41,7 +52,6 @@
                 + "\"site\":\"a\",\"class\":\"c\",\"block\":0,\"health\":\"up\",\"share\":1.0,\"born_ms\":0}]}%n", shelf.getLocalPort());
         serve(discovery, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
                 + "\r\n" + list + "\r\n");
-        Path file = Path.of(arguments[0]);
         try (InputStream text = Rehearsal.class.getResourceAsStream("rehearsal.json")) {
             Files.writeString(file, new String(text.readAllBytes(), StandardCharsets.UTF_8).replace("%DISCOVERY%",
                     "127.0.0.1:" + discovery.getLocalPort()));
@@ -63,7 +73,9 @@
         driver.tell(new PlatformHead.Drain());
         int code = Process.untilStopped(driver);
         process.close();
-        System.exit(code);
+        shelf.close();
+        discovery.close();
+        return code;
     }
 
     private static void expect(int port, String request, String statuses) throws IOException {
--- a/core/src/main/java/garnetreel/core/Head.java
+++ b/core/src/main/java/garnetreel/core/Head.java
@@ -16,50 +16,33 @@
 import garnetreel.core.link.MapLink;
 import garnetreel.core.link.NodeLinks;
 import garnetreel.policy.Scheduler;
-import garnetreel.policy.Scheduler.Action;
-import garnetreel.policy.Scheduler.Alarm;
 import garnetreel.policy.Scheduler.Cancel;
 import garnetreel.policy.Scheduler.Check;
 import garnetreel.policy.Scheduler.Checked;
 import garnetreel.policy.Scheduler.CloseIdle;
-import garnetreel.policy.Scheduler.Event;
 import garnetreel.policy.Scheduler.Fail;
-import garnetreel.policy.Scheduler.FetchList;
 import garnetreel.policy.Scheduler.Outcome;
 import garnetreel.policy.Scheduler.Refuse;
-import garnetreel.policy.Scheduler.Remark;
 import garnetreel.policy.Scheduler.Send;
-import garnetreel.policy.Scheduler.SetAlarm;
 import garnetreel.policy.Scheduler.Watch;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
 
 /**
  * A whole head without I/O: fronts, desk, links and the decision module, tied together. Everything that happened since
  * the last turn goes into one turn of the module.
  */
-public final class Head implements Machine, NodeLinks.Listener {
+public final class Head implements Machine, NodeLinks.Listener, Decisions.Actor {
     /** The listener of NBD clients. */
     public static final String NBD = "nbd";
     /** The listener of rsync clients. */
     public static final String RSYNC = "rsync";
 
-    /** A head with clients takes a turn at least so often, so that a longer gap means that it was stopped. */
-    private static final long HEARTBEAT = 50_000;
-    /** A gap past this is no busy machine's late turn. */
-    private static final long STOPPED = 4 * HEARTBEAT;
-    /** Time after which sockets hold nothing any more that came while it was stopped. */
-    private static final long CATCH_UP = 100_000;
-
     /** Takes no new work, answers what was taken, then says Stopped. */
     public record Drain() implements NetEvent.Order { }
 
-    private record Due(long at, long order, String name) { }
-
     private final HeadSettings settings;
-    private final Scheduler scheduler;
+    private final Decisions decisions;
+    private final Stops stops = new Stops();
     private final byte[] rememberedList;
     private final NodeLinks nodes;
     private final ListLink list;
@@ -70,12 +53,7 @@
     private final RsyncFront rsync;
     private final Room room;
     private final FileKeeper files;
-    private final PriorityQueue<Due> alarms = new PriorityQueue<>(
-            Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
     private volatile Figures figures = new Figures(0, 0, 0, 0, 0, 0, 0, 0, 0);
-    private long alarmCount;
-    private long stoppedAt;
-    private long caughtUpAt;
     private boolean begun;
     private boolean draining;
     private boolean stopped;
@@ -94,7 +72,7 @@
     public Head(HeadSettings settings, Scheduler scheduler, byte[] rememberedList, byte[] rememberedMap,
             FileKeeper.Kept kept) {
         this.settings = settings;
-        this.scheduler = scheduler;
+        this.decisions = new Decisions(scheduler, this);
         this.rememberedList = rememberedList;
         ConnectionNumbers numbers = new ConnectionNumbers();
         nodes = new NodeLinks(settings, numbers);
@@ -111,21 +89,12 @@
 
     @Override
     public void turn(long time, List<NetEvent> events, List<NetAction> actions) {
-        long before = now;
         now = Math.max(now, time);
-        // Guards against requests that waited in sockets while this process was stopped: their clients' time ran
-        // meanwhile, and counted from now it would end after the client has given up. What is read as it wakes counts as
-        // come when it was stopped. It could hurt what came just before it woke, which has that much less time.
-        if (begun && now - before > STOPPED && nbd.connections() + rsync.connections() > 0) {
-            stoppedAt = before;
-            caughtUpAt = now + CATCH_UP;
-            actions.add(new NetAction.Note(Level.WARN, "no turn for " + (now - before) / 1000
-                    + " ms: this process was stopped or starved; what waited in its sockets counts as come before"));
-        }
+        long came = stops.turn(now, clients(), actions);
         nodes.at(now, actions);
         list.at(now, actions);
         map.at(now, actions);
-        desk.at(now, now < caughtUpAt ? stoppedAt : now);
+        desk.at(now, came);
         nbd.at(now, actions);
         files.at(now, actions);
         rsync.at(now, actions);
@@ -221,38 +190,56 @@
     }
 
     private void decide(List<NetAction> actions) {
-        while (!alarms.isEmpty() && alarms.peek().at() <= now) {
-            desk.tell(new Alarm(alarms.poll().name()));
-        }
-        if (!desk.hasEvents()) {
-            return;
-        }
-        List<Event> told = desk.takeEvents();
-        for (Action action : scheduler.turn(now, told)) {
-            if (action instanceof Send send) {
-                desk.send(send);
-            } else if (action instanceof Refuse refuse) {
-                desk.refuse(refuse);
-            } else if (action instanceof Fail fail) {
-                desk.fail(fail);
-            } else if (action instanceof SetAlarm alarm) {
-                alarms.add(new Due(now + Math.max(0, alarm.after()), ++alarmCount, alarm.name()));
-            } else if (action instanceof Cancel cancel) {
-                nodes.cancel(cancel.id(), cancel.attempt());
-            } else if (action instanceof Check check) {
-                nodes.check(check.node());
-            } else if (action instanceof CloseIdle close) {
-                nodes.closeIdle(close.node());
-            } else if (action instanceof Watch watch) {
-                list.watch(watch.on());
-            } else if (action instanceof FetchList) {
-                list.fetch();
-            } else if (action instanceof Remark remark) {
-                actions.add(new NetAction.Note(Level.INFO, remark.text()));
-            }
+        decisions.ring(now, desk::tell);
+        if (desk.hasEvents()) {
+            decisions.decide(now, desk.takeEvents(), actions);
         }
     }
 
+    private boolean clients() {
+        return nbd.connections() + rsync.connections() > 0;
+    }
+
+    @Override
+    public void send(Send send) {
+        desk.send(send);
+    }
+
+    @Override
+    public void refuse(Refuse refuse) {
+        desk.refuse(refuse);
+    }
+
+    @Override
+    public void fail(Fail fail) {
+        desk.fail(fail);
+    }
+
+    @Override
+    public void cancel(Cancel cancel) {
+        nodes.cancel(cancel.id(), cancel.attempt());
+    }
+
+    @Override
+    public void check(Check check) {
+        nodes.check(check.node());
+    }
+
+    @Override
+    public void closeIdle(CloseIdle close) {
+        nodes.closeIdle(close.node());
+    }
+
+    @Override
+    public void watch(Watch watch) {
+        list.watch(watch.on());
+    }
+
+    @Override
+    public void fetchList() {
+        list.fetch();
+    }
+
     @Override
     public void ended(Attempt attempt, Outcome outcome, NodeMessage.Answer answer) {
         desk.ended(attempt, outcome, answer);
@@ -271,8 +258,7 @@
         long next = Math.min(map.wakeAt(), Math.min(nodes.wakeAt(), list.wakeAt()));
         next = Math.min(next, Math.min(nbd.wakeAt(), desk.wakeAt()));
         next = Math.min(next, Math.min(rsync.wakeAt(), files.wakeAt()));
-        next = nbd.connections() + rsync.connections() > 0 ? Math.min(next, now + HEARTBEAT) : next;
-        return alarms.isEmpty() ? next : Math.min(next, alarms.peek().at());
+        return Math.min(next, Math.min(stops.wakeAt(clients()), decisions.wakeAt()));
     }
 
     /** Figures as they were after the last turn; may be asked for on any thread. */
--- a/core/src/main/java/garnetreel/core/platform/Bounds.java
+++ b/core/src/main/java/garnetreel/core/platform/Bounds.java
@@ -20,6 +20,8 @@
     /** One part in so many of the rest is for shelves: attempts are fewer than requests. */
     private static final int SHELF_PART = 3;
     private static final int LEAST = 8;
+    /** Fewer descriptors can't be shared out. */
+    static final int SOCKETS_LEAST = RESERVE + 2 * LEAST;
     /** More memory than this changes no bound. */
     private static final int MEMORY_MOST = 1024;
     /** One part in so many of the memory may hold bodies. */
@@ -28,7 +30,7 @@
     private static final int ANSWER_PART = 64;
 
     static Bounds of(PlatformSettings.Limits limits) {
-        int rest = Math.max(2 * LEAST, limits.sockets() - RESERVE);
+        int rest = limits.sockets() - RESERVE;
         int shelves = Math.max(LEAST, rest / SHELF_PART);
         int clients = Math.max(LEAST, rest - shelves);
         int memory = Math.min(limits.memoryMb(), MEMORY_MOST) << 20;
--- a/core/src/main/java/garnetreel/core/platform/PlatformHead.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformHead.java
@@ -3,34 +3,29 @@
 import garnetreel.codec.http.HttpRequest;
 import garnetreel.codec.http.HttpResponse;
 import garnetreel.codec.http.HttpWriter;
+import garnetreel.core.Decisions;
+import garnetreel.core.Stops;
 import garnetreel.core.io.Machine;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetAction.Level;
 import garnetreel.core.io.NetEvent;
 import garnetreel.core.link.ConnectionNumbers;
 import garnetreel.policy.Scheduler;
-import garnetreel.policy.Scheduler.Action;
-import garnetreel.policy.Scheduler.Alarm;
 import garnetreel.policy.Scheduler.Cancel;
 import garnetreel.policy.Scheduler.Check;
 import garnetreel.policy.Scheduler.Checked;
 import garnetreel.policy.Scheduler.CloseIdle;
 import garnetreel.policy.Scheduler.Event;
 import garnetreel.policy.Scheduler.Fail;
-import garnetreel.policy.Scheduler.FetchList;
 import garnetreel.policy.Scheduler.Outcome;
 import garnetreel.policy.Scheduler.Refuse;
-import garnetreel.policy.Scheduler.Remark;
 import garnetreel.policy.Scheduler.Send;
-import garnetreel.policy.Scheduler.SetAlarm;
 import garnetreel.policy.Scheduler.Watch;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
 
 /** A head on the users' platform: HTTP/1.1 to clients, shelves and discovery. What to do is the scheduler's; this does it. */
-public final class PlatformHead implements Machine {
+public final class PlatformHead implements Machine, Decisions.Actor {
     /** Name of the listener for clients. */
     public static final String HTTP = "http";
     /** After an order to end, new connections keep coming for at most 0.4 s; they are taken for this long. */
@@ -43,18 +38,14 @@
     /** Order: a new configuration; of it the address of discovery is taken over. */
     public record Reconfigure(PlatformSettings settings) implements NetEvent.Order { }
 
-    private record Due(long at, long order, String name) { }
-
     private final PlatformSettings settings;
-    private final Scheduler scheduler;
+    private final Decisions decisions;
+    private final Stops stops = new Stops();
     private final ClientFront front;
     private final ShelfLinks shelves;
     private final DiscoveryLink discovery;
     private final RequestTable table;
-    private final PriorityQueue<Due> alarms = new PriorityQueue<>(
-            Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
     private List<Event> events = new ArrayList<>();
-    private long alarmCount;
     private long now;
     private long stopAcceptingAt = Long.MAX_VALUE;
     private boolean begun;
@@ -63,7 +54,7 @@
 
     public PlatformHead(PlatformSettings settings, Scheduler scheduler) {
         this.settings = settings;
-        this.scheduler = scheduler;
+        this.decisions = new Decisions(scheduler, this);
         Bounds bounds = Bounds.of(settings.limits());
         ConnectionNumbers numbers = new ConnectionNumbers();
         front = new ClientFront(bounds, new ClientFront.Listener() {
@@ -94,11 +85,12 @@
 
     @Override
     public void turn(long time, List<NetEvent> told, List<NetAction> actions) {
-        now = time;
+        now = Math.max(now, time);
+        long came = stops.turn(now, front.connections() > 0, actions);
         front.at(now, actions);
         shelves.at(now, actions);
         discovery.at(now, actions);
-        table.at(now, actions);
+        table.at(now, came, actions);
         if (!begun) {
             begun = true;
             discovery.remembered(settings.known());
@@ -176,39 +168,54 @@
     }
 
     private void decide(List<NetAction> actions) {
-        while (!alarms.isEmpty() && alarms.peek().at() <= now) {
-            events.add(new Alarm(alarms.poll().name()));
-        }
-        if (events.isEmpty()) {
-            return;
-        }
-        List<Event> told = events;
-        events = new ArrayList<>();
-        for (Action action : scheduler.turn(now, told)) {
-            if (action instanceof Send send) {
-                table.send(send);
-            } else if (action instanceof Refuse refuse) {
-                table.refuse(refuse);
-            } else if (action instanceof Fail fail) {
-                table.fail(fail);
-            } else if (action instanceof SetAlarm alarm) {
-                alarms.add(new Due(now + Math.max(0, alarm.after()), ++alarmCount, alarm.name()));
-            } else if (action instanceof Cancel cancel) {
-                shelves.cancel(cancel.id(), cancel.attempt());
-            } else if (action instanceof Check check) {
-                shelves.check(check.node());
-            } else if (action instanceof CloseIdle close) {
-                shelves.closeIdle(close.node());
-            } else if (action instanceof Watch watch) {
-                discovery.watch(watch.on());
-            } else if (action instanceof FetchList) {
-                discovery.fetch();
-            } else if (action instanceof Remark remark) {
-                actions.add(new NetAction.Note(Level.INFO, remark.text()));
-            }
+        decisions.ring(now, events::add);
+        if (!events.isEmpty()) {
+            List<Event> told = events;
+            events = new ArrayList<>();
+            decisions.decide(now, told, actions);
         }
     }
 
+    @Override
+    public void send(Send send) {
+        table.send(send);
+    }
+
+    @Override
+    public void refuse(Refuse refuse) {
+        table.refuse(refuse);
+    }
+
+    @Override
+    public void fail(Fail fail) {
+        table.fail(fail);
+    }
+
+    @Override
+    public void cancel(Cancel cancel) {
+        shelves.cancel(cancel.id(), cancel.attempt());
+    }
+
+    @Override
+    public void check(Check check) {
+        shelves.check(check.node());
+    }
+
+    @Override
+    public void closeIdle(CloseIdle close) {
+        shelves.closeIdle(close.node());
+    }
+
+    @Override
+    public void watch(Watch watch) {
+        discovery.watch(watch.on());
+    }
+
+    @Override
+    public void fetchList() {
+        discovery.fetch();
+    }
+
     /** The end by steps: first all goes on, then nothing new is taken, and what was taken is answered. */
     private void end(List<NetAction> actions) {
         if (now >= stopAcceptingAt) {
@@ -230,7 +237,7 @@
         }
         long next = Math.min(Math.min(front.wakeAt(), shelves.wakeAt()), Math.min(discovery.wakeAt(), table.wakeAt()));
         next = Math.min(next, stopAcceptingAt);
-        return alarms.isEmpty() ? next : Math.min(next, alarms.peek().at());
+        return Math.min(next, Math.min(stops.wakeAt(front.connections() > 0), decisions.wakeAt()));
     }
 
     /** What is held now. */
--- a/core/src/main/java/garnetreel/core/platform/PlatformSettings.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformSettings.java
@@ -29,13 +29,20 @@
         Json settings = json.need("settings").child("settings");
         return new PlatformSettings(json.text("name", ""), address(json, "listen"), address(json, "discovery"),
                 seed(json.text("seed", "0")),
-                new Limits((int) limits.need("memory_mb").whole("memory_mb", 0),
-                        (int) limits.need("sockets").whole("sockets", 0)),
+                new Limits(atLeast(limits, "memory_mb", 1), atLeast(limits, "sockets", Bounds.SOCKETS_LEAST)),
                 json.has("known") ? ListUpdate.read(json.child("known")) : new ListUpdate(0, true, List.of()),
                 SettingsReader.read(settings), settings.child("limits").micros("idle-close", 0),
                 settings.child("limits").flag("retry-after", false));
     }
 
+    private static int atLeast(Json limits, String name, int least) throws JsonException {
+        long number = limits.need(name).whole(name, 0);
+        if (number < least) {
+            throw new JsonException("configuration, in \"limits\": field \"" + name + "\" is " + number + ", at least " + least);
+        }
+        return (int) Math.min(number, Integer.MAX_VALUE);
+    }
+
     private static String address(Json json, String name) throws JsonException {
         String text = json.need(name).text(name, "");
         if (!text.matches("[^\\s:]+:[0-9]{1,5}")) {
--- a/core/src/main/java/garnetreel/core/platform/RequestTable.java
+++ b/core/src/main/java/garnetreel/core/platform/RequestTable.java
@@ -79,6 +79,7 @@
             .thenComparingLong(o -> o.number));
     private List<NetAction> actions = new ArrayList<>();
     private long now;
+    private long came;
     private long last;
     private int bytes;
 
@@ -92,8 +93,10 @@
         settings.scheduling().plans().forEach(p -> plans.add(p.name()));
     }
 
-    void at(long time, List<NetAction> to) {
+    /** @param since the time as of which what is read in this turn has come */
+    void at(long time, long since, List<NetAction> to) {
         now = time;
+        came = since;
         actions = to;
     }
 
@@ -152,7 +155,7 @@
         String key = hex(fields, Headers.KEY, false);
         Facts facts = Facts.read(fields.only(Headers.FACTS));
         long left = Math.min(timeLeft(fields.only(Headers.TIME_LEFT)), kind.deadline());
-        return new Arrived(++last, kind.name(), plan, key == null ? -1 : positive(key), now + left,
+        return new Arrived(++last, kind.name(), plan, key == null ? -1 : positive(key), came + left,
                 positive(facts.volume()), facts.units(), facts.shard(), facts.hosts(),
                 "1".equals(fields.first(Headers.REPEAT)), write);
     }
--- a/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -304,6 +304,64 @@
         assertEquals(0, rig.head.held().requests());
     }
 
+    /** A request waited in the socket while the process had no CPU: its client's time ran meanwhile. */
+    @Test
+    void whatWaitedThroughAPauseIsAsOldAsThePause() throws JsonException {
+        Rig rig = new Rig(PlatformHeadTest::toShelf).accept(1);
+        long before = rig.now;
+        rig.now += 400_000;
+        rig.receive(1, Rig.request(ID, ""));
+        assertEquals(before + 480_000, rig.told(Arrived.class).get(0).validUntil());
+        rig.pass(200_000).accept(2).receive(2, Rig.request("00000000000000aa", ""));
+        assertEquals(rig.now + 480_000, rig.told(Arrived.class).get(1).validUntil());
+    }
+
+    /** 60 MB are said to come: the error is out with the head, and what follows finds nobody. */
+    @Test
+    void aHugeBodyIsNotWaitedFor() throws JsonException {
+        Rig rig = new Rig(PlatformHeadTest::toShelf).accept(1)
+                .receive(1, Rig.request(ID, "").replace("Content-Length: 4", "Content-Length: 62914560"));
+        assertTrue(rig.sent(1).startsWith("HTTP/1.1 400 ") && rig.closed.contains(1L), rig.sent(1));
+        rig.receive(1, "x".repeat(100_000));
+        assertEquals(new PlatformHead.Held(0, 0, 0, 0), rig.head.held());
+    }
+
+    @Test
+    void aStartAgainstADeadDiscoveryIsReadyByWhatIsKnown() throws JsonException {
+        String ask = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+        Rig rig = new Rig(e -> e instanceof NodeNews n && n.kind() == ListKind.REMEMBERED ? List.of(new Watch(true)) : List.of());
+        rig.tell(new NetEvent.Closed(rig.lastOpened, false, "refused")).accept(1).receive(1, ask);
+        assertTrue(rig.sent(1).startsWith("HTTP/1.1 200 "), rig.sent(1));
+    }
+
+    /** It was replaced under its name: what stands to the one before is of no use. */
+    @Test
+    void connectionsToAShelfBeforeItsNewStartAreClosed() throws JsonException {
+        Rig rig = watching();
+        long watch = rig.lastOpened;
+        rig.accept(1).receive(1, Rig.request(ID, ""));
+        long shelf = rig.lastOpened;
+        rig.tell(new NetEvent.Connected(shelf)).receive(shelf, Rig.answer("result", ""));
+        rig.receive(watch, chunk("{\"seq\":10,\"whole\":false,\"hosts\":[" + Rig.shelf("s-1", 2001, "up", 5) + "]}"));
+        assertTrue(rig.closed.contains(shelf));
+    }
+
+    /** All that the bounds allow stays below the descriptors that there are. */
+    @ParameterizedTest
+    @ValueSource(ints = {88, 128, 256, 384, 1_024, 4_096})
+    void descriptorsAreSharedOut(int sockets) {
+        Bounds bounds = Bounds.of(new PlatformSettings.Limits(128, sockets));
+        assertTrue(bounds.clients() >= 8 && bounds.shelves() >= 5, bounds.toString());
+        assertTrue(bounds.clients() + bounds.shelves() + 72 <= sockets, bounds.toString());
+        assertTrue(bounds.clients() >= sockets / 3 || sockets < 256, "clients hold a third of the descriptors for requests");
+    }
+
+    @Test
+    void tooFewDescriptorsAreSaid() {
+        byte[] config = String.format(Rig.CONFIG, 64, "").getBytes(StandardCharsets.UTF_8);
+        assertTrue(assertThrows(JsonException.class, () -> PlatformSettings.read(config)).getMessage().contains("\"sockets\" is 64"));
+    }
+
     // ---------------------------------------------------------------- discovery
 
     private static Rig watching() throws JsonException {
