--- a/cli/src/main/java/garnetreel/cli/PlatformMain.java
+++ b/cli/src/main/java/garnetreel/cli/PlatformMain.java
@@ -66,8 +66,8 @@
         Process process = new Process();
         // Before it listens: from then on it may be told, and the JVM dies of a signal that has no handler.
         CompletableFuture<Driver> started = new CompletableFuture<>();
-        Signals.on("HUP", () -> started.thenAccept(this::reread));
-        Signals.on("TERM", () -> started.thenAccept(head -> head.tell(new PlatformHead.Drain())));
+        obey("HUP", () -> started.thenAccept(this::reread));
+        obey("TERM", () -> started.thenAccept(head -> head.tell(new PlatformHead.Drain())));
         Driver driver = start(process);
         started.complete(driver);
         int code = Process.untilStopped(driver);
@@ -76,6 +76,12 @@
         return code;
     }
 
+    private void obey(String signal, Runnable action) {
+        if (!Signals.on(signal, action)) {
+            log.warn("SIG{} is ignored, as whoever started this process wanted (nohup does so), and can't be obeyed", signal);
+        }
+    }
+
     /** Starts the head; gives it once it listens. */
     Driver start(Process process) throws IOException {
         PlatformSettings settings;
--- a/cli/src/main/java/garnetreel/cli/Signals.java
+++ b/cli/src/main/java/garnetreel/cli/Signals.java
@@ -13,9 +13,10 @@
     /**
      * Runs {@code action} on a thread of the JVM's at each signal of that name, instead of what the signal does otherwise.
      *
+     * @return false where whoever started this process had the signal ignored, as nohup does with SIGHUP: the JVM leaves it so
      * @throws IllegalStateException when signals can't be handled here
      */
-    static void on(String name, Runnable action) {
+    static boolean on(String name, Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -31,8 +32,9 @@
                             default -> "handler of " + name;
                         };
                     });
-            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class).newInstance(name),
-                    proxy);
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance(name), proxy);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             Throwable cause = e instanceof InvocationTargetException wrapped ? wrapped.getCause() : e;
             throw new IllegalStateException("signal " + name + " can't be handled: " + cause, e);
--- /dev/null
+++ b/cli/src/test/java/garnetreel/cli/HeadOnSockets.java
@@ -0,0 +1,177 @@
+package garnetreel.cli;
+
+import garnetreel.core.io.NetEvent;
+import garnetreel.core.platform.PlatformHead;
+import garnetreel.core.platform.PlatformSettings;
+import garnetreel.net.Driver;
+import garnetreel.policy.Control;
+import garnetreel.policy.Scheduler;
+import garnetreel.policy.Scheduler.Action;
+import garnetreel.policy.Scheduler.Event;
+import garnetreel.standin.peer.ScriptedPeer;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+
+/**
+ * A head of the platform on real sockets, with a clock that tests may set and the real decision module, whose events and
+ * actions are seen as they pass. A test waits for one of them before its peers take their next step.
+ */
+final class HeadOnSockets implements AutoCloseable {
+    private static final int WAIT_SECONDS = 30;
+    private static final String CONFIG = """
+            {"name": "n0", "listen": "127.0.0.1:0", "discovery": "%s", "seed": "8c1f30d27a5be964",
+             "limits": {"cores": 1, "memory_mb": 128, "sockets": 512},
+             "known": {"seq": 1, "whole": true, "hosts": [%s]},
+             "settings": {"balancers": 1, "discovery": "subscribe", "tick": 0.002,
+              "classes": [{"name": "read", "aim": 20, "hard-limit": 60, "effect": "repeatable"},
+                          {"name": "write", "aim": 20, "hard-limit": 60, "effect": "once"}],
+              "service-levels": [{"name": "gold", "usual-rate": 1000, "floor-rate": 500, "proportion": 1}],
+              "rules": {"ask-every": 10},
+              "limits": {"dial-timeout": 20, "idle-close": 60, "retry-after": true, "max-retry-after": 2, "try-limit": 3},
+              "specifics": {"unit-mean": 2, "most-units": 8, "class-writes": [false, true]}}}
+            """;
+
+    /** Gives the machine a turn, and nothing else. */
+    private record Nudge() implements NetEvent.Order { }
+
+    final Driver driver;
+    final String address;
+    final AtomicLong clock = new AtomicLong(1_000_000_000L);
+    private final BlockingQueue<Object> seen = new LinkedBlockingQueue<>();
+    private volatile Predicate<Event> halt = event -> false;
+    private final CountDownLatch halted = new CountDownLatch(1);
+    private final CountDownLatch goOn = new CountDownLatch(1);
+
+    HeadOnSockets(ScriptedPeer discovery, ScriptedPeer shelf) throws Exception {
+        this(config(discovery.address(), shelf.address()));
+    }
+
+    private HeadOnSockets(PlatformSettings settings) throws Exception {
+        Control control = new Control(settings.scheduling(), settings.seed());
+        Scheduler spied = (now, events) -> {
+            seen.addAll(events);
+            if (events.stream().anyMatch(halt)) {
+                halted.countDown();
+                await(goOn);
+            }
+            List<Action> actions = control.turn(now, events);
+            seen.addAll(actions);
+            return actions;
+        };
+        driver = new Driver("head", new PlatformHead(settings, spied), clock::get, (name, data) -> { }).start();
+        address = driver.bound(PlatformHead.HTTP).get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    static PlatformSettings config(String discovery, String shelf) throws Exception {
+        return PlatformSettings.read(text(discovery, shelf).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** A configuration file. */
+    static String text(String discovery, String shelf) {
+        return String.format(CONFIG, discovery, entry(shelf, "up"));
+    }
+
+    static String entry(String shelf, String health) {
+        return "{\"host\":\"s-1\",\"dial\":\"" + shelf + "\",\"site\":\"a\",\"class\":\"c\",\"block\":0,\"health\":\"" + health
+                + "\",\"share\":1.0,\"born_ms\":0}";
+    }
+
+    static String list(int version, boolean whole, String entries) {
+        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[" + entries + "]}";
+    }
+
+    /** The head of a watch's answer, and its first object. */
+    static String watch(String first) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(first);
+    }
+
+    static String chunk(String text) {
+        return Integer.toHexString(text.length() + 1) + "\r\n" + text + "\n\r\n";
+    }
+
+    static String request(int number, double seconds) {
+        return String.format(Locale.ROOT, "PUT /write/a HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: %016x\r\nTier: gold\r\n"
+                + "Piece: 7f3a9c21e0b4d655\r\nX-Time-Left: %.3f\r\n"
+                + "IO-Info: volume=00000003b4d60021,units=2,shard=0,hosts=1\r\nContent-Length: 4\r\n\r\ndata", number, seconds);
+    }
+
+    static String answer(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Waits until the module has been told, or has decided, something of a type. */
+    <T> T await(Class<T> type) throws InterruptedException {
+        for (Object one = seen.poll(WAIT_SECONDS, TimeUnit.SECONDS); one != null; one = seen.poll(WAIT_SECONDS, TimeUnit.SECONDS)) {
+            if (type.isInstance(one)) {
+                return type.cast(one);
+            }
+        }
+        throw new AssertionError("no " + type.getSimpleName() + " came");
+    }
+
+    /** Fails if there is nothing of a type among what has been seen and not yet waited for. */
+    void drainSeen(Class<?> type) {
+        List<Object> all = new ArrayList<>();
+        seen.drainTo(all);
+        if (all.stream().noneMatch(type::isInstance)) {
+            throw new AssertionError("no " + type.getSimpleName() + " among " + all);
+        }
+    }
+
+    /** Sets the clock on, and gives a turn. */
+    void pass(long micros) {
+        clock.addAndGet(micros);
+        driver.tell(new Nudge());
+    }
+
+    /** Holds the head's only thread in the turn in which this event comes, until {@link #goOn}. */
+    void haltAt(Predicate<Event> event) {
+        halt = event;
+    }
+
+    void untilHalted() throws InterruptedException {
+        await(halted);
+    }
+
+    void goOn() {
+        goOn.countDown();
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            if (!latch.await(WAIT_SECONDS, TimeUnit.SECONDS)) {
+                throw new AssertionError("nothing came");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Waits until nobody listens any more at the head's address. */
+    void untilItListensNoMore() throws InterruptedException {
+        for (long tries = 0; tries < 1_000_000; tries++) {
+            try {
+                ScriptedPeer.connect(address).close();
+                pass(10_000);
+            } catch (IOException refused) {
+                return;
+            }
+        }
+        throw new AssertionError("it still listens");
+    }
+
+    @Override
+    public void close() {
+        goOn.countDown();
+        driver.close();
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/garnetreel/cli/SignalsTest.java
@@ -0,0 +1,153 @@
+package garnetreel.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.standin.peer.ScriptedPeer;
+import garnetreel.standin.peer.ScriptedPeer.Line;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Signals sent to a real process, started by the class that {@code run} in deploy/balancer.toml names. */
+@Timeout(120)
+class SignalsTest {
+    private static final Pattern LISTENS = Pattern.compile(".* listens on (\\S+)");
+
+    @TempDir
+    Path directory;
+    private ScriptedPeer discovery;
+    private ScriptedPeer shelf;
+    private java.lang.Process process;
+    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+
+    @BeforeEach
+    void start() throws Exception {
+        discovery = ScriptedPeer.listening();
+        shelf = ScriptedPeer.listening();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+        discovery.close();
+        shelf.close();
+    }
+
+    private Path file() {
+        return directory.resolve("config.json");
+    }
+
+    private void run(String config) throws IOException {
+        run(config, "--default-signal=HUP,TERM");
+    }
+
+    private void run(String config, String signals) throws IOException {
+        Files.writeString(file(), config);
+        Path logging = Files.writeString(directory.resolve("logging.xml"), """
+                <configuration><appender name="out" class="ch.qos.logback.core.ConsoleAppender">
+                <encoder><pattern>%logger{0} %msg%n</pattern></encoder></appender>
+                <root level="INFO"><appender-ref ref="out"/></root></configuration>
+                """);
+        String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        // Whoever runs the tests may ignore SIGHUP, as nohup does; a process takes that over, and the JVM leaves it so.
+        ProcessBuilder builder = new ProcessBuilder("env", signals, Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Dlogback.configurationFile=" + logging, "-cp", classes, PlatformMain.class.getName());
+        builder.environment().put(PlatformMain.VARIABLE, file().toString());
+        process = builder.redirectErrorStream(true).start();
+        BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        Thread reader = new Thread(() -> lines.lines().forEach(log::add));
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** Waits for a line of the log that matches. */
+    private Matcher untilSaid(Pattern pattern) throws InterruptedException {
+        StringBuilder before = new StringBuilder();
+        for (String line = log.poll(30, TimeUnit.SECONDS); line != null; line = log.poll(30, TimeUnit.SECONDS)) {
+            Matcher matcher = pattern.matcher(line);
+            if (matcher.find()) {
+                return matcher;
+            }
+            before.append(line).append('\n');
+        }
+        throw new AssertionError("never said " + pattern + " but:\n" + before);
+    }
+
+    private void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** A request is out at a shelf when SIGTERM comes: it is answered, and the process then ends with 0. */
+    @Test
+    void sigtermAnswersWhatWasTaken() throws Exception {
+        run(HeadOnSockets.text(discovery.address(), shelf.address()));
+        String address = untilSaid(LISTENS).group(1);
+        try (Line client = ScriptedPeer.connect(address).send(HeadOnSockets.request(1, 50)); Line sent = shelf.accept()) {
+            sent.read();
+            signal("TERM");
+            untilSaid(Pattern.compile("takes nothing more"));
+            sent.send(HeadOnSockets.answer("result"));
+            String answer = client.read();
+            assertTrue(answer.endsWith("result") && answer.contains("Connection: close\r\n"), answer);
+            assertEquals(ScriptedPeer.End.IN_ORDER, client.readToEnd().end());
+        }
+        assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    /** A file that is no configuration changes nothing and is named with its field; a good one moves discovery at once. */
+    @Test
+    void sighupTakesAGoodFileAndKeepsTheOldOneAgainstABadOne() throws Exception {
+        String good = HeadOnSockets.text(discovery.address(), shelf.address());
+        run(good);
+        String address = untilSaid(LISTENS).group(1);
+        Files.writeString(file(), good.replace("\"sockets\": 512", "\"sockets\": 5"));
+        signal("HUP");
+        untilSaid(Pattern.compile("stays unread and the configuration as it was: .*\"sockets\" is 5"));
+        try (Line client = ScriptedPeer.connect(address).send(HeadOnSockets.request(1, 50)); Line sent = shelf.accept()) {
+            sent.read();
+            sent.send(HeadOnSockets.answer("result"));
+            assertTrue(client.read().endsWith("result"), "it goes on as before");
+        }
+        try (ScriptedPeer moved = ScriptedPeer.listening()) {
+            Files.writeString(file(), HeadOnSockets.text(moved.address(), shelf.address()));
+            signal("HUP");
+            try (Line watch = moved.accept()) {
+                assertTrue(watch.read().startsWith("GET /registry/instances?watch=1"));
+            }
+        }
+    }
+
+    /** Started under nohup it can't be told of a new configuration; it says so instead of ignoring it in silence. */
+    @Test
+    void aSignalThatCannotBeHandledIsSaid() throws Exception {
+        run(HeadOnSockets.text(discovery.address(), shelf.address()), "--ignore-signal=HUP");
+        untilSaid(Pattern.compile("SIGHUP is ignored"));
+        untilSaid(LISTENS);
+    }
+
+    /** A bad configuration at the start: its place is said, and the exit is not 0. */
+    @Test
+    void aBadFileAtTheStartIsRefused() throws Exception {
+        run(HeadOnSockets.text(discovery.address(), shelf.address()).replace("\"memory_mb\": 128", "\"memory_mb\": 0"));
+        untilSaid(Pattern.compile("config.json: .*\"memory_mb\" is 0"));
+        assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+        assertEquals(Main.FAILED, process.exitValue());
+    }
+}
--- a/codec/src/main/java/garnetreel/codec/http/BodyReader.java
+++ b/codec/src/main/java/garnetreel/codec/http/BodyReader.java
@@ -5,8 +5,8 @@
 import java.util.Arrays;
 
 /**
- * Reads one body, of a stated length or in chunks. One that only the connection's end would end is not accepted, as it
- * can't be told from one that was cut short. What it holds is bounded.
+ * Reads one body: of a stated length, in chunks, or up to the connection's end. The last is whole only where the connection
+ * ends in order; that is for the caller to know. What it holds is bounded.
  */
 final class BodyReader {
     /** A chunk's size line or a trailer line; sizes have at most 8 digits, and nobody here sends extensions. */
@@ -15,7 +15,7 @@
     private static final int SIZE_DIGITS = 8;
     private static final byte[] NOTHING = {};
 
-    private enum State { DATA, CHUNK_LINE, CHUNK_DATA, CHUNK_END, TRAILERS, DONE }
+    private enum State { DATA, UNTIL_END, CHUNK_LINE, CHUNK_DATA, CHUNK_END, TRAILERS, DONE }
 
     private final int most;
     private final StringBuilder line = new StringBuilder();
@@ -43,6 +43,14 @@
         return new BodyReader(State.CHUNK_LINE, 0, most);
     }
 
+    static BodyReader untilEnd(int most) throws ProtocolException {
+        return new BodyReader(State.UNTIL_END, Long.MAX_VALUE, most);
+    }
+
+    boolean endsWithConnection() {
+        return state == State.UNTIL_END;
+    }
+
     /** Takes what belongs to the body; true once it is whole. */
     boolean read(ByteBuffer in) throws ProtocolException {
         while (state != State.DONE && in.hasRemaining()) {
@@ -53,6 +61,7 @@
                         state = state == State.DATA ? State.DONE : State.CHUNK_END;
                     }
                 }
+                case UNTIL_END -> data(in, Long.MAX_VALUE);
                 default -> {
                     if (lineEnded(in)) {
                         line(line.toString());
--- a/codec/src/main/java/garnetreel/codec/http/ResponseParser.java
+++ b/codec/src/main/java/garnetreel/codec/http/ResponseParser.java
@@ -4,8 +4,8 @@
 import java.nio.ByteBuffer;
 
 /**
- * Reads one response after another from a connection. Interim (1xx) ones are passed over. A stream of chunks can be
- * read as it comes with {@link #part()}.
+ * Reads one response after another from a connection. Interim (1xx) ones are passed over. A long one can be read as it comes
+ * with {@link #part()}. One without a length ends with its connection, which {@link #ended()} tells.
  */
 public final class ResponseParser {
     private static final int HEAD_MOST = 16 << 10;
@@ -59,6 +59,11 @@
         return body == null ? new byte[0] : body.take();
     }
 
+    /** The response that ends with its connection: one that states no length; null where none has begun or it was cut short. */
+    public HttpResponse ended() {
+        return body != null && body.endsWithConnection() ? whole() : null;
+    }
+
     private HttpResponse whole() {
         HttpResponse response = new HttpResponse(status, head.fields(), body.take(), reusable);
         head.reset();
@@ -99,7 +104,8 @@
         } else if (length >= 0) {
             body = BodyReader.sized(length, bodyMost);
         } else {
-            throw new ProtocolException("answer without a length");
+            reusable = false;
+            body = BodyReader.untilEnd(bodyMost);
         }
     }
 }
--- a/core/src/main/java/garnetreel/core/io/NetAction.java
+++ b/core/src/main/java/garnetreel/core/io/NetAction.java
@@ -8,7 +8,7 @@
     /** Binds a listener; answered by Listening or ListenFailed. */
     record Listen(String listener, String address) implements NetAction { }
 
-    /** Ends a listener; its connections go on. */
+    /** Ends a listener; what it has accepted, or has waiting, is still told, and connections go on. */
     record Unlisten(String listener) implements NetAction { }
 
     /** Opens a connection under a number below 0 that the machine chose and never used before. */
@@ -20,7 +20,12 @@
     /** Reads on, or stops reading, which in the end stops the peer from writing. */
     record Reading(long conn, boolean on) implements NetAction { }
 
-    /** Ends a connection: at once with a reset, or after what is written has gone. */
+    /**
+     * Ends a connection. With {@code abort} at once, as it is. Else in order: what is written is sent and its Drained
+     * told, then the sending side is shut down, and what still comes is read and dropped until the peer's end or a time
+     * limit, since closing over unread bytes resets the connection and may destroy the answer before it. A second Close
+     * with {@code abort} ends that early.
+     */
     record Close(long conn, boolean abort) implements NetAction { }
 
     /** Keeps bytes under a name so that they survive a kill; the last of a name wins. */
@@ -38,7 +43,7 @@
     /** A line for the log. */
     record Note(Level level, String text) implements NetAction { }
 
-    /** The machine has ended its work after an order to do so. */
+    /** The machine has ended its work after an order to do so; connections that it closed in order are finished first. */
     record Stopped() implements NetAction { }
 
     /** Weight of a {@link Note}. */
--- a/core/src/main/java/garnetreel/core/io/NetEvent.java
+++ b/core/src/main/java/garnetreel/core/io/NetEvent.java
@@ -20,7 +20,7 @@
     /** Bytes came; the machine owns the buffer. */
     record Received(long conn, ByteBuffer data) implements NetEvent { }
 
-    /** So many bytes of what was to be written have left for the socket. */
+    /** So many bytes of what was to be written have left for the socket, or never will where the connection was closed. */
     record Drained(long conn, int bytes) implements NetEvent { }
 
     /**
@@ -28,8 +28,14 @@
      * itself closed.
      *
      * @param opened false where it never stood, so that nothing written to it was sent
+     * @param inOrder the peer ended its sending in order, so that all it wrote has come; false for a reset
      */
-    record Closed(long conn, boolean opened, String why) implements NetEvent { }
+    record Closed(long conn, boolean opened, boolean inOrder, String why) implements NetEvent {
+        /** One that never stood, or that broke. */
+        public Closed(long conn, boolean opened, String why) {
+            this(conn, opened, false, why);
+        }
+    }
 
     /** A record given with {@link NetAction.Append} is durable. */
     record Appended(long seq) implements NetEvent { }
--- a/core/src/main/java/garnetreel/core/platform/Attempt.java
+++ b/core/src/main/java/garnetreel/core/platform/Attempt.java
@@ -1,7 +1,16 @@
 package garnetreel.core.platform;
 
+import garnetreel.codec.http.Fields;
+import garnetreel.codec.http.HttpRequest;
+import garnetreel.codec.http.HttpWriter;
+import java.nio.ByteBuffer;
+import java.util.List;
+
 /** One send of a request. Each is its own: there is no equality but identity. */
 final class Attempt {
+    private static final long LEAST_LEFT = 1_000;
+    private static final List<String> PASSED_ON = List.of(Headers.PLAN, Headers.KEY, Headers.FACTS);
+
     /** The module's number of the request. */
     final long request;
     final int number;
@@ -9,12 +18,31 @@
     final long sentAt;
     /** When it is no longer waited for. */
     final long until;
+    /** When it may no longer begin. */
+    final long beginBy;
+    private final HttpRequest message;
 
-    Attempt(long request, int number, String node, long sentAt, long until) {
+    Attempt(long request, int number, String node, long sentAt, long until, long beginBy, HttpRequest message) {
         this.request = request;
         this.number = number;
         this.node = node;
         this.sentAt = sentAt;
         this.until = until;
+        this.beginBy = beginBy;
+        this.message = message;
+    }
+
+    /** Its bytes as of the time at which they are written: a connection may have come up late, and the time left ran on. */
+    ByteBuffer encode(long now) {
+        Fields fields = message.fields();
+        HttpWriter writer = HttpWriter.request(message.method(), message.target(), Headers.HOST)
+                .field(Headers.ID, fields.first(Headers.ID))
+                .field(Headers.TIME_LEFT, Digits.seconds(Math.max(LEAST_LEFT, until - now)));
+        for (String name : PASSED_ON) {
+            if (fields.has(name)) {
+                writer.field(name, fields.first(name));
+            }
+        }
+        return writer.body(message.body(), message.method().equals("PUT"));
     }
 }
--- a/core/src/main/java/garnetreel/core/platform/ClientFront.java
+++ b/core/src/main/java/garnetreel/core/platform/ClientFront.java
@@ -16,8 +16,9 @@
 import java.util.Map;
 
 /**
- * Connections from clients. Each has one request open at most; bytes of the next one wait, up to a bound past which the
- * connection is not read. What can't be read is answered with an error and closed.
+ * Connections from clients. Each has one request open at most; bytes of the next ones wait, up to a bound past which they
+ * are dropped and the open request's answer is the connection's last. A connection is always read: one that is not read
+ * hides its client's close. What can't be read is answered with an error and closed.
  */
 final class ClientFront {
     /** A connection that has sent no whole request by then is closed; the platform wants it within 3 s. */
@@ -28,8 +29,11 @@
     private static final long IDLE_MOST = 60_000_000;
     /** A client that has not read its answer by then has gone. */
     private static final long UNREAD_MOST = 5_000_000;
-    /** Bytes of requests to come that wait while one is open. */
-    private static final int UNREAD_BYTES = 8 << 10;
+    /** Bytes of requests to come that wait while one is open: a pipeline of hundreds, or a few of the largest. */
+    private static final int UNREAD_MOST_BYTES = 256 << 10;
+    /** Once the head ends, a new connection's first byte and the rest of half a request are waited for so long. */
+    private static final long FIRST_BYTE_AT_END = 200_000;
+    private static final long REST_AT_END = 1_000_000;
     private static final int BAD_REQUEST = 400;
     private static final int REQUEST_TIMEOUT = 408;
 
@@ -41,7 +45,8 @@
         void left(long conn);
     }
 
-    private enum State { SILENT, IDLE, BEGUN, BUSY, WRITING }
+    /** SENDING: its last answer is on its way, and the connection is closed behind that. */
+    private enum State { SILENT, IDLE, BEGUN, BUSY, WRITING, SENDING }
 
     private static final State[] STATES = State.values();
 
@@ -53,7 +58,6 @@
         long since;
         int unreadBytes;
         int toDrain;
-        boolean paused;
         boolean last;
 
         Client(long conn) {
@@ -72,6 +76,8 @@
     private long turnedAway;
     /** Bytes of answers that clients have not read. */
     private int bytes;
+    /** Bytes of requests to come. */
+    private int unread;
 
     ClientFront(Bounds bounds, Listener listener) {
         this.bounds = bounds;
@@ -94,9 +100,9 @@
         return clients.size();
     }
 
-    /** Clients that are owed an answer, or have not yet read it. */
-    int open() {
-        return in(State.BUSY).size() + in(State.WRITING).size();
+    /** Whether no client is owed anything: an answer, its bytes, or the time to say what it has begun to say. */
+    boolean settled() {
+        return clients.isEmpty();
     }
 
     /** Connections that were closed because of a bound. */
@@ -147,6 +153,7 @@
     private void forget(Client client) {
         bytes -= client.toDrain;
         client.toDrain = 0;
+        dropUnread(client);
         clients.remove(client.conn);
         in(client.state).remove(client.conn);
     }
@@ -159,52 +166,67 @@
         }
     }
 
+    private void dropUnread(Client client) {
+        unread -= client.unreadBytes;
+        client.unreadBytes = 0;
+        client.unread.clear();
+    }
+
     void received(long conn, ByteBuffer data) {
         Client client = clients.get(conn);
+        if (client.last) {
+            return; // nothing more is answered on it
+        }
         client.unread.add(data);
         client.unreadBytes += data.remaining();
+        unread += data.remaining();
         pump(client);
+        if (client.unreadBytes > UNREAD_MOST_BYTES || unread > bounds.bytes()) {
+            turnedAway++;
+            client.last = true;
+            dropUnread(client);
+        }
     }
 
     void drained(long conn, int drained) {
         Client client = clients.get(conn);
         client.toDrain -= drained;
         bytes -= drained;
-        if (client.state == State.WRITING && client.toDrain <= 0) {
+        if (client.toDrain <= 0 && client.state == State.SENDING) {
+            forget(client);
+        } else if (client.toDrain <= 0 && client.state == State.WRITING) {
             move(client, State.IDLE);
             pump(client);
+            if (draining && client.state == State.IDLE) {
+                close(client, false);
+            }
         }
     }
 
     /** Reads on while no request is open. */
     private void pump(Client client) {
         try {
-            while (client.state != State.BUSY && client.state != State.WRITING && !client.unread.isEmpty()
-                    && clients.containsKey(client.conn)) {
+            while ((client.state == State.SILENT || client.state == State.IDLE || client.state == State.BEGUN)
+                    && !client.unread.isEmpty() && clients.containsKey(client.conn)) {
                 ByteBuffer piece = client.unread.peekFirst();
                 int before = piece.remaining();
                 HttpRequest request = client.parser.next(piece);
                 client.unreadBytes -= before - piece.remaining();
+                unread -= before - piece.remaining();
                 if (!piece.hasRemaining()) {
                     client.unread.removeFirst();
                 }
                 if (request != null) {
                     move(client, State.BUSY);
-                    client.last = draining || request.fields().holds("Connection", "close");
+                    client.last = request.fields().holds("Connection", "close");
                     listener.request(client.conn, request);
-                } else if (client.state == State.IDLE) {
+                } else if (client.state == State.IDLE || draining && client.state == State.SILENT) {
                     move(client, State.BEGUN);
                 }
             }
         } catch (ProtocolException e) {
             client.last = true;
             write(client, HttpWriter.response(BAD_REQUEST), e.getMessage().getBytes(StandardCharsets.UTF_8));
-            return;
-        }
-        boolean pause = client.unreadBytes > UNREAD_BYTES;
-        if (pause != client.paused && clients.containsKey(client.conn)) {
-            client.paused = pause;
-            actions.add(new NetAction.Reading(client.conn, !pause));
         }
     }
 
@@ -219,32 +241,43 @@
     }
 
     private void write(Client client, HttpWriter head, byte[] body) {
-        if (client.last || draining) {
+        // At the end an answer is the last unless more requests have come: their client would wait for them.
+        boolean last = client.last || draining && client.unread.isEmpty();
+        if (last) {
             head.field("Connection", "close");
+            client.last = true;
+            dropUnread(client);
         }
         ByteBuffer bytes = head.body(body, true);
         client.toDrain = bytes.remaining();
         this.bytes += client.toDrain;
         actions.add(new NetAction.Write(client.conn, bytes));
-        if (client.last || draining) {
-            close(client, false); // after what is written has gone
-        } else {
-            move(client, State.WRITING);
+        if (last) {
+            actions.add(new NetAction.Close(client.conn, false));
         }
-        while (this.bytes > bounds.bytes() && !in(State.WRITING).isEmpty()) {
-            turnedAway++;
-            close(in(State.WRITING).values().iterator().next(), true);
+        move(client, last ? State.SENDING : State.WRITING);
+        for (State state : List.of(State.WRITING, State.SENDING)) {
+            while (this.bytes > bounds.bytes() && !in(state).isEmpty()) {
+                turnedAway++;
+                close(in(state).values().iterator().next(), true);
+            }
         }
     }
 
     // ---------------------------------------------------------------- time
 
-    /** Ends connections on which no request is open; from now on each answer is its connection's last. */
+    /**
+     * Ends connections that rest. From now on an answer is its connection's last, unless more has come on it. A connection
+     * that is new, or on which half a request has come, has a little time to say the rest.
+     */
     void drain() {
         draining = true;
-        for (State state : List.of(State.SILENT, State.IDLE, State.BEGUN)) {
-            while (closeFirst(state)) {
-                continue;
+        while (closeFirst(State.IDLE)) {
+            continue;
+        }
+        for (Client client : List.copyOf(in(State.SILENT).values())) {
+            if (client.parser.begun()) {
+                move(client, State.BEGUN);
             }
         }
     }
@@ -255,9 +288,10 @@
 
     private long most(State state) {
         return switch (state) {
-            case SILENT, BEGUN -> SILENT_MOST;
+            case SILENT -> draining ? FIRST_BYTE_AT_END : SILENT_MOST;
+            case BEGUN -> draining ? REST_AT_END : SILENT_MOST;
             case IDLE -> idleMost();
-            case WRITING -> UNREAD_MOST;
+            case WRITING, SENDING -> UNREAD_MOST;
             case BUSY -> Long.MAX_VALUE / 2;
         };
     }
@@ -279,8 +313,10 @@
                 if (now - oldest.since < most(state)) {
                     break;
                 }
-                if (state == State.IDLE || state == State.WRITING) {
-                    close(oldest, state == State.WRITING);
+                if (state == State.WRITING || state == State.SENDING) {
+                    close(oldest, true);
+                } else if (state == State.IDLE || state == State.SILENT && draining) {
+                    close(oldest, false);
                 } else {
                     oldest.last = true;
                     write(oldest, HttpWriter.response(REQUEST_TIMEOUT), new byte[0]);
--- a/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
+++ b/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
@@ -11,38 +11,45 @@
 import garnetreel.policy.Scheduler.NodeNews;
 import garnetreel.settings.Json;
 import garnetreel.settings.JsonException;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
 /**
  * The connection to discovery. The module says when to watch or to ask; this carries it out and keeps versions in step.
- * It begins a watch of its own accord only when the address of discovery changes in mid-watch.
+ * It begins a call of its own accord only when the address of discovery changes.
+ *
+ * <p>A change counts as told 6 s after discovery had it and could be reached, so from a watch's silence, or from the return
+ * of a discovery that was down, to the first answer there are 6 s in all, the module's back-off included (the sum is in
+ * docs/platform.md). Each head adds a random part, so that a fleet whose watches fall silent at once does not call at once.
  */
 final class DiscoveryLink {
-    /** The list, or one object of the watch; the platform's bodies have at most 64 KiB. */
-    private static final int LINE_MOST = 64 << 10;
-    /** The first answer is waited for so long, connecting included. */
-    private static final long ANSWER_WAIT = 3_000_000;
-    /** A watch says something every 2 s; one that says nothing for so long is taken for dead. */
-    private static final long SILENCE = 5_000_000;
+    /** The list, or one object of the watch: the platform says 64 KiB, and an indented one of 200 shelves takes as much. */
+    private static final int OBJECT_MOST = 1 << 20;
+    /** The first answer is waited for so long, connecting included; a call that is only slow ends with a 503 before. */
+    private static final long ANSWER_WAIT = 1_300_000;
+    /** A watch says something every 2 s; one that says nothing for so long, and up to a random part more, is broken. */
+    private static final long SILENCE = 2_700_000;
+    private static final long SILENCE_SPREAD = 400_000;
     private static final int OK = 200;
 
     /** A call that is out: a watch or one question. */
     private static final class Call {
         final long conn;
         final boolean watch;
-        final ResponseParser parser = new ResponseParser(LINE_MOST);
-        final ByteArrayOutputStream line = new ByteArrayOutputStream(64);
+        final ResponseParser parser = new ResponseParser(OBJECT_MOST);
+        final ObjectSplitter objects = new ObjectSplitter(OBJECT_MOST);
+        final long silence;
         boolean begun;
+        boolean told;
         long heardAt;
 
-        Call(long conn, boolean watch, long now) {
+        Call(long conn, boolean watch, long silence, long now) {
             this.conn = conn;
             this.watch = watch;
+            this.silence = silence;
             this.heardAt = now;
         }
     }
@@ -50,6 +57,7 @@
     private final ConnectionNumbers numbers;
     private final Consumer<NodeNews> news;
     private final ShelfLinks shelves;
+    private final SplittableRandom random;
     private String address;
     private long version;
     private boolean anyVersion;
@@ -64,6 +72,7 @@
         this.news = news;
         this.shelves = shelves;
         this.address = settings.discovery();
+        this.random = new SplittableRandom(settings.seed());
     }
 
     void at(long time, List<NetAction> to) {
@@ -78,11 +87,15 @@
         news.accept(known.news(ListKind.REMEMBERED));
     }
 
-    /** Subscribes to changes, or ends the subscription. */
+    /** Subscribes to changes, or ends the subscription. One that is being opened, or stands, goes on. */
     void watch(boolean on) {
         wanted = on;
-        end(watch);
-        watch = on ? call(true) : null;
+        if (!on) {
+            end(watch);
+            watch = null;
+        } else if (watch == null) {
+            watch = call(true);
+        }
     }
 
     /** Asks for the whole list once. */
@@ -99,13 +112,18 @@
         }
         actions.add(new NetAction.Note(Level.INFO, "discovery moves from " + address + " to " + to));
         address = to;
-        if (wanted) {
-            watch(true);
+        // What is out at the old address could answer after the new one; a back-off was meant for the old one.
+        end(watch);
+        watch = null;
+        watch(wanted);
+        if (question != null) {
+            end(question);
+            question = call(false);
         }
     }
 
     private Call call(boolean watching) {
-        Call call = new Call(numbers.next(), watching, now);
+        Call call = new Call(numbers.next(), watching, SILENCE + random.nextLong(SILENCE_SPREAD), now);
         actions.add(new NetAction.Connect(call.conn, address));
         return call;
     }
@@ -123,8 +141,19 @@
         actions.add(new NetAction.Write(conn, HttpWriter.request("GET", target, Headers.HOST).body(new byte[0], false)));
     }
 
-    void closed(long conn) {
-        failed(call(conn), "its connection ended");
+    /** @param inOrder whether discovery has ended its sending, which ends an answer that states no length */
+    void closed(long conn, boolean inOrder) {
+        Call call = call(conn);
+        HttpResponse answer = inOrder ? call.parser.ended() : null;
+        if (answer == null) {
+            failed(call, "its connection ended" + (call.told ? "" : " before an answer"));
+            return;
+        }
+        try {
+            answered(call, answer);
+        } catch (ProtocolException | JsonException e) {
+            failed(call, e.getMessage());
+        }
     }
 
     private void end(Call call) {
@@ -150,7 +179,7 @@
             HttpResponse answer = call.parser.next(data);
             if (call.parser.status() == OK && call.watch) {
                 call.begun = true;
-                lines(call, call.parser.part());
+                objects(call, call.parser.part());
             } else if (answer != null) {
                 answered(call, answer);
             }
@@ -161,33 +190,23 @@
     }
 
     private void answered(Call call, HttpResponse answer) throws JsonException, ProtocolException {
-        if (answer.status() == OK && call.watch) {
-            lines(call, answer.body());
-        } else if (answer.status() == OK) {
-            take(Json.parse(answer.body(), 0, answer.body().length, "list"));
+        if (answer.status() == OK) {
+            objects(call, answer.body());
         }
+        end(call);
         if (call.watch || answer.status() != OK) {
-            end(call);
             failed(call, answer.status() == OK ? "the watch ended" : "answered " + answer.status());
         } else {
             question = null;
-            end(call);
         }
     }
 
-    private void lines(Call call, byte[] bytes) throws JsonException, ProtocolException {
-        for (byte one : bytes) {
-            if (one != '\n') {
-                if (call.line.size() == LINE_MOST) {
-                    throw new ProtocolException("a line of more than " + LINE_MOST + " bytes");
-                }
-                call.line.write(one);
-            } else {
-                byte[] line = call.line.toByteArray();
-                call.line.reset();
-                if (!new String(line, StandardCharsets.US_ASCII).isBlank()) {
-                    take(Json.parse(line, 0, line.length, "watch"));
-                }
+    private void objects(Call call, byte[] piece) throws JsonException, ProtocolException {
+        for (byte[] object : call.objects.next(piece)) {
+            take(Json.parse(object, 0, object.length, "list"));
+            if (!call.told) {
+                call.told = true;
+                actions.add(new NetAction.Note(Level.INFO, "discovery: " + shelves.known() + " shelves in version " + version));
             }
         }
     }
@@ -217,7 +236,7 @@
     }
 
     private static long dueAt(Call call) {
-        return call == null ? Long.MAX_VALUE : call.heardAt + (call.begun ? SILENCE : ANSWER_WAIT);
+        return call == null ? Long.MAX_VALUE : call.heardAt + (call.begun ? call.silence : ANSWER_WAIT);
     }
 
     void expire() {
--- a/core/src/main/java/garnetreel/core/platform/PlatformHead.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformHead.java
@@ -50,6 +50,7 @@
     private long stopAcceptingAt = Long.MAX_VALUE;
     private boolean begun;
     private boolean draining;
+    private boolean takesNothing;
     private boolean stopped;
 
     public PlatformHead(PlatformSettings settings, Scheduler scheduler) {
@@ -134,9 +135,9 @@
             if (front.owns(closed.conn())) {
                 front.closed(closed.conn());
             } else if (shelves.owns(closed.conn())) {
-                shelves.closed(closed.conn());
+                shelves.closed(closed.conn(), closed.inOrder());
             } else if (discovery.owns(closed.conn())) {
-                discovery.closed(closed.conn());
+                discovery.closed(closed.conn(), closed.inOrder());
             }
         } else if (event instanceof NetEvent.ListenFailed failed) {
             actions.add(new NetAction.Note(Level.WARN, "can't listen on " + settings.listen() + ": " + failed.why()));
@@ -162,6 +163,9 @@
         if (request.path().equals(Headers.READY)) {
             boolean ready = shelves.known() > 0 && !draining;
             front.answer(conn, HttpWriter.response(ready ? 200 : 503), NOTHING);
+        } else if (takesNothing) {
+            // What comes now could still be out when the process is killed; refused, it may be asked elsewhere at once.
+            table.turnAway(conn);
         } else {
             table.arrived(conn, request);
         }
@@ -220,11 +224,12 @@
     private void end(List<NetAction> actions) {
         if (now >= stopAcceptingAt) {
             stopAcceptingAt = Long.MAX_VALUE;
+            takesNothing = true;
             actions.add(new NetAction.Unlisten(HTTP));
             actions.add(new NetAction.Note(Level.INFO, "takes nothing more: " + held()));
             front.drain();
         }
-        if (draining && stopAcceptingAt == Long.MAX_VALUE && !stopped && front.open() == 0) {
+        if (takesNothing && !stopped && front.settled()) {
             stopped = true;
             actions.add(new NetAction.Stopped());
         }
--- a/core/src/main/java/garnetreel/core/platform/RequestTable.java
+++ b/core/src/main/java/garnetreel/core/platform/RequestTable.java
@@ -135,7 +135,7 @@
             return;
         }
         if (operations.size() >= bounds.requests() || bytes + request.body().length > bounds.bytes()) {
-            front.answer(conn, refusal(settings.scheduling().maxStayAway()), NOTHING);
+            turnAway(conn);
             return;
         }
         bytes += request.body().length;
@@ -194,18 +194,14 @@
             return;
         }
         long until = send.timeout() > 0 ? Math.min(operation.validUntil, now + send.timeout()) : operation.validUntil;
-        Attempt attempt = new Attempt(operation.number, operation.attempts++, send.node(), now, until);
+        long beginBy = send.beginWithin() > 0 ? Math.min(until, now + send.beginWithin()) : until;
         operation.out++;
-        Fields fields = operation.request.fields();
-        HttpWriter writer = HttpWriter.request(operation.request.method(), operation.request.target(), Headers.HOST)
-                .field(Headers.ID, fields.first(Headers.ID))
-                .field(Headers.TIME_LEFT, Digits.seconds(Math.max(1_000, until - now)));
-        for (String name : List.of(Headers.PLAN, Headers.KEY, Headers.FACTS)) {
-            if (fields.has(name)) {
-                writer.field(name, fields.first(name));
-            }
-        }
-        shelves.send(attempt, writer.body(operation.request.body(), operation.request.method().equals("PUT")));
+        shelves.send(new Attempt(operation.number, operation.attempts++, send.node(), now, until, beginBy, operation.request));
+    }
+
+    /** Refuses what can't be a request of this head any more. */
+    void turnAway(long conn) {
+        front.answer(conn, refusal(settings.scheduling().maxStayAway()), NOTHING);
     }
 
     void refuse(Refuse refuse) {
@@ -234,17 +230,18 @@
         actions.add(new NetAction.Note(Level.WARN, "the module " + what));
     }
 
+    /** Nothing more is owed to its client, so what has not begun for it never begins. */
     private void over(Operation operation) {
         operation.over = true;
         byConn.remove(operation.conn);
         byDeadline.remove(operation);
+        shelves.withdraw(operation.number);
         forgetIfDone(operation);
     }
 
     private void forgetIfDone(Operation operation) {
-        if (operation.over && operation.out == 0) {
+        if (operation.over && operation.out == 0 && operations.remove(operation.number) != null) {
             bytes -= operation.request.body().length;
-            operations.remove(operation.number);
             byId.remove(operation.id);
         }
     }
@@ -255,8 +252,8 @@
     void left(long conn) {
         Operation operation = byConn.get(conn);
         if (operation != null) {
-            over(operation);
             module.accept(new Abandoned(operation.number));
+            over(operation);
         }
     }
 
@@ -290,8 +287,8 @@
         while (!byDeadline.isEmpty() && byDeadline.first().validUntil + OVERDUE <= now) {
             Operation operation = byDeadline.first();
             defect("left a request without an answer");
-            finish(operation, HttpWriter.response(BAD_GATEWAY), NOTHING);
             module.accept(new Abandoned(operation.number));
+            finish(operation, HttpWriter.response(BAD_GATEWAY), NOTHING);
         }
     }
 }
--- a/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
+++ b/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
@@ -15,14 +15,20 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 
 /**
  * Connections to shelves; each carries one request at a time. An attempt ends here exactly once.
  *
+ * <p>This is the one place that knows whether an attempt has begun: its bytes are made and written when its connection
+ * stands, and until then it can be withdrawn, by its client's leaving, its answer, the shelf's drain or the end of the time
+ * in which it may begin. What has not begun then never begins.
+ *
  * <p>How an end is told, as it decides what may be tried again: not written whole to a connection that stood, it did not
  * run; written whole and no good answer, it may have run. A connection is used again only after a whole answer with
  * nothing behind it.
@@ -41,6 +47,7 @@
     private static final long CHECK_WAIT = 1_000_000;
     /** Spoilt answers are logged no more often. */
     private static final long SAY_EVERY = 5_000_000;
+    private static final byte[] NOTHING = {};
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -61,7 +68,6 @@
         final ResponseParser parser;
         Attempt attempt;
         boolean check;
-        ByteBuffer unsent;
         boolean open;
         int toDrain;
         /** Bytes of an answer that is coming. */
@@ -79,9 +85,14 @@
         boolean idle() {
             return attempt == null && !check;
         }
+
+        /** Whether its attempt can no longer be stopped from running. */
+        boolean begun() {
+            return open && toDrain <= 0;
+        }
     }
 
-    private record Shelf(String dial, long startedAt) { }
+    private record Shelf(String dial, long startedAt, boolean up) { }
 
     private final ConnectionNumbers numbers;
     private final long connectTimeout;
@@ -150,14 +161,23 @@
             if (entry.node().state() == NodeState.GONE) {
                 shelves.remove(entry.node().address());
             } else {
-                shelves.put(entry.node().address(), new Shelf(entry.dial(), entry.node().startedAt()));
+                shelves.put(entry.node().address(), new Shelf(entry.dial(), entry.node().startedAt(),
+                        entry.node().state() == NodeState.UP));
             }
         }
+        Set<String> changed = new HashSet<>();
         before.forEach((node, shelf) -> {
             if (!shelf.equals(shelves.get(node))) {
+                changed.add(node);
                 closeIdle(node);
             }
         });
+        for (Link link : List.copyOf(comingUp.values())) {
+            if (changed.contains(link.node)) {
+                drop(link, true);
+                end(link, Outcome.MOOT, null); // it was meant for what is no longer there, or wants nothing new
+            }
+        }
     }
 
     /** Closes connections to a shelf on which nothing is out. */
@@ -170,8 +190,8 @@
 
     // ---------------------------------------------------------------- sends
 
-    /** Starts an attempt. */
-    void send(Attempt attempt, ByteBuffer request) {
+    /** Starts an attempt, at once or when its connection stands. */
+    void send(Attempt attempt) {
         Link link = link(attempt.node);
         if (link == null) {
             unsendable.add(attempt);
@@ -180,7 +200,7 @@
         link.attempt = attempt;
         out.put(attempt, link);
         timeouts.add(attempt);
-        carry(link, request);
+        begin(link);
     }
 
     /** Checks a shelf. */
@@ -192,10 +212,10 @@
         }
         link.check = true;
         checks.put(link.conn, link);
-        carry(link, HttpWriter.request("GET", Headers.STATS, Headers.HOST).body(new byte[0], false));
+        begin(link);
     }
 
-    /** A connection that has rested, the one idle for longest; else a new one. */
+    /** A connection that has rested, the one idle for longest; else one that is coming up for nobody; else a new one. */
     private Link link(String node) {
         Shelf shelf = shelves.get(node);
         if (shelf == null) {
@@ -207,6 +227,11 @@
             unidle(rested);
             return rested;
         }
+        for (Link link : comingUp.values()) {
+            if (link.idle() && link.node.equals(node)) {
+                return link;
+            }
+        }
         if (links.size() >= most && !dropLongestIdle()) {
             return null;
         }
@@ -230,14 +255,16 @@
         return longest != null;
     }
 
-    private void carry(Link link, ByteBuffer request) {
+    /** Writes what a connection is for, if it stands. */
+    private void begin(Link link) {
+        if (!link.open || link.idle()) {
+            return;
+        }
         link.since = now;
+        ByteBuffer request = link.check ? HttpWriter.request("GET", Headers.STATS, Headers.HOST).body(NOTHING, false)
+                : link.attempt.encode(now);
         link.toDrain = request.remaining();
-        if (link.open) {
-            actions.add(new NetAction.Write(link.conn, request));
-        } else {
-            link.unsent = request;
-        }
+        actions.add(new NetAction.Write(link.conn, request));
     }
 
     /** Stops waiting for an attempt; ending its connection is how a shelf learns that. */
@@ -245,9 +272,22 @@
         for (Attempt attempt : List.copyOf(out.keySet())) {
             if (attempt.request == request && attempt.number == number) {
                 Link link = out.get(attempt);
-                boolean unsent = link.unsent != null;
+                boolean begun = link.begun();
                 drop(link, true);
-                end(link, unsent ? Outcome.CONNECT_FAILED : Outcome.CANCELLED, null);
+                end(link, begun ? Outcome.CANCELLED : Outcome.CONNECT_FAILED, null);
+            }
+        }
+    }
+
+    /** Ends all attempts of a request that have not begun; a connection that is coming up serves the next one. */
+    void withdraw(long request) {
+        for (Attempt attempt : List.copyOf(out.keySet())) {
+            Link link = out.get(attempt);
+            if (attempt.request == request && !link.begun()) {
+                if (link.open) {
+                    drop(link, true); // a part is out: without its rest it never runs
+                }
+                end(link, Outcome.MOOT, null);
             }
         }
     }
@@ -258,9 +298,13 @@
         Link link = links.get(conn);
         link.open = true;
         comingUp.remove(conn);
-        if (link.unsent != null) {
-            actions.add(new NetAction.Write(conn, link.unsent));
-            link.unsent = null;
+        if (link.attempt != null && now >= link.attempt.beginBy) {
+            end(link, Outcome.MOOT, null);
+        }
+        if (link.idle()) {
+            rest(link);
+        } else {
+            begin(link);
         }
     }
 
@@ -268,11 +312,13 @@
         links.get(conn).toDrain -= bytes;
     }
 
-    void closed(long conn) {
+    /** @param inOrder the shelf has ended its sending, which ends an answer that states no length; a reset does not */
+    void closed(long conn, boolean inOrder) {
         Link link = links.get(conn);
         forget(link);
         if (!link.idle()) {
-            end(link, !link.open || link.toDrain > 0 ? Outcome.CONNECT_FAILED : Outcome.RESET, null);
+            HttpResponse answer = inOrder && link.begun() ? link.parser.ended() : null;
+            end(link, answer != null ? outcome(answer) : link.begun() ? Outcome.RESET : Outcome.CONNECT_FAILED, answer);
         }
     }
 
@@ -306,12 +352,17 @@
         Outcome outcome = early ? Outcome.ERROR : outcome(answer);
         end(link, outcome, early ? null : answer);
         if (links.containsKey(conn)) {
-            link.since = now;
-            idle.computeIfAbsent(link.node, any -> new ArrayDeque<>()).addLast(link);
-            Shelf shelf = shelves.get(link.node);
-            if (shelf == null || !shelf.dial().equals(link.dial)) {
-                drop(link, false);
-            }
+            rest(link);
+        }
+    }
+
+    /** Keeps a connection for the next request, if its shelf takes any. */
+    private void rest(Link link) {
+        link.since = now;
+        idle.computeIfAbsent(link.node, any -> new ArrayDeque<>()).addLast(link);
+        Shelf shelf = shelves.get(link.node);
+        if (shelf == null || !shelf.up() || !shelf.dial().equals(link.dial)) {
+            drop(link, false);
         }
     }
 
@@ -403,9 +454,9 @@
         }
         while (!timeouts.isEmpty() && timeouts.first().until <= now) {
             Link link = out.get(timeouts.first());
-            boolean unsent = !link.open || link.toDrain > 0;
+            boolean begun = link.begun();
             drop(link, true);
-            end(link, unsent ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, null);
+            end(link, begun ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, null);
         }
         endOld(comingUp, connectTimeout, Outcome.CONNECT_FAILED);
         endOld(checks, CHECK_WAIT, Outcome.TIMEOUT);
--- a/core/src/test/java/garnetreel/core/platform/Rig.java
+++ b/core/src/test/java/garnetreel/core/platform/Rig.java
@@ -81,7 +81,9 @@
                 lastOpened = connect.conn();
             } else if (action instanceof NetAction.Close close) {
                 closed.add(close.conn());
-                next.removeIf(e -> e instanceof NetEvent.Drained d && d.conn() == close.conn());
+                if (close.abort()) {
+                    next.removeIf(e -> e instanceof NetEvent.Drained d && d.conn() == close.conn());
+                }
             } else if (action instanceof NetAction.Listen || action instanceof NetAction.Unlisten) {
                 listening = action instanceof NetAction.Listen;
             } else if (action instanceof NetAction.Stopped) {
--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -54,6 +54,15 @@
     private static final int BACKLOG = 1024;
     private static final OptionMap SOCKET = OptionMap.builder().set(Options.TCP_NODELAY, true)
             .set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG).getMap();
+    /**
+     * Connections accepted in one selection. Guards against a burst that takes all descriptors before the machine has had a
+     * turn in which to make room; what waits is accepted in the next one.
+     */
+    private static final int ACCEPTS_AT_ONCE = 16;
+    /** Accepting rests so long after it failed: for want of descriptors it would fail at each selection, without end. */
+    private static final long ACCEPT_REST_MILLIS = 100;
+    /** Closed connections that wait for their peer's end; past it the one that has waited longest is cut. */
+    private static final int LINGERING_MOST = 24;
     /** Turns that a machine gets in a row when it wants them at once; then sockets are looked at. */
     private static final int TURNS_AT_ONCE = 16;
     /** XNIO counts timers in whole milliseconds: a shorter one is a task, which runs before the selection. */
@@ -81,13 +90,37 @@
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final AtomicLong accepted = new AtomicLong();
     private final Set<Wire> written = new LinkedHashSet<>();
+    /** Connections that the machine has closed in order and that are not over; of these, which wait for their peer's end. */
+    private final Set<Wire> closing = new LinkedHashSet<>();
+    private final Set<Wire> lingering = new LinkedHashSet<>();
     private final List<NetAction> actions = new ArrayList<>();
     private final Set<Long> paused = new LinkedHashSet<>();
     private final XnioIoThread io;
+    /** Follows connections that are being closed; a process that ended before them would reset them. */
+    private final Wire.Closing watcher = new Wire.Closing() {
+        @Override
+        public void lingers(Wire wire) {
+            lingering.add(wire);
+            if (lingering.size() > LINGERING_MOST) {
+                lingering.iterator().next().cut();
+            }
+        }
+
+        @Override
+        public void over(Wire wire) {
+            wires.remove(wire.conn, wire);
+            if (!dead) {
+                lingering.remove(wire);
+                closing.remove(wire);
+                stopIfAllIsSent();
+            }
+        }
+    };
     /** When the earliest timer that is set will call for a turn. */
     private long timerAt = Long.MAX_VALUE;
     private long lastTurn;
     private boolean yielding;
+    private boolean stopping;
     private volatile boolean dead;
     private volatile long stalledUntil = Long.MIN_VALUE;
 
@@ -145,7 +178,7 @@
         }
         listeners.values().forEach(IoUtils::safeClose);
         opening.values().forEach(IoFuture::cancel);
-        wires.values().forEach(w -> w.close(true));
+        List.copyOf(wires.values()).forEach(w -> w.close(true));
         worker.shutdownNow();
         stopped.complete(null);
     }
@@ -282,7 +315,7 @@
         } else if (action instanceof NetAction.Listen listen) {
             listen(listen);
         } else if (action instanceof NetAction.Unlisten unlisten) {
-            IoUtils.safeClose(listeners.remove(unlisten.listener()));
+            unlisten(unlisten.listener());
         } else if (action instanceof NetAction.Persist persist) {
             keeper.keep(persist.name(), persist.data());
         } else if (action instanceof NetAction.Append append) {
@@ -297,7 +330,8 @@
             }
         } else if (action instanceof NetAction.Stopped) {
             flush();
-            stopped.complete(null);
+            stopping = true;
+            stopIfAllIsSent();
         }
     }
 
@@ -307,13 +341,23 @@
         if (future != null) {
             future.cancel();
         }
-        Wire wire = wires.remove(close.conn());
+        Wire wire = wires.get(close.conn());
         if (wire != null) {
-            written.remove(wire);
+            if (close.abort()) {
+                written.remove(wire);
+            } else {
+                closing.add(wire);
+            }
             wire.close(close.abort());
         }
     }
 
+    private void stopIfAllIsSent() {
+        if (stopping && closing.isEmpty()) {
+            stopped.complete(null);
+        }
+    }
+
     // ---------------------------------------------------------------- sockets
 
     private void listen(NetAction.Listen listen) {
@@ -321,7 +365,7 @@
         try {
             AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
                     Addresses.parse(listen.address()), (ChannelListener<AcceptingChannel<StreamConnection>>) channel
-                            -> accept(listen.listener(), channel), SOCKET);
+                            -> accept(listen.listener(), channel, ACCEPTS_AT_ONCE), SOCKET);
             listeners.put(listen.listener(), server);
             server.resumeAccepts();
             String text = Addresses.text(server.getLocalAddress(InetSocketAddress.class));
@@ -334,11 +378,20 @@
         }
     }
 
-    private void accept(String listener, AcceptingChannel<StreamConnection> server) {
+    /** Ends a listener once what waits in it is accepted: closing it resets those, who may have sent a request. */
+    private void unlisten(String listener) {
+        AcceptingChannel<StreamConnection> server = listeners.remove(listener);
+        if (server != null) {
+            accept(listener, server, BACKLOG);
+            IoUtils.safeClose(server);
+        }
+    }
+
+    private void accept(String listener, AcceptingChannel<StreamConnection> server, int most) {
         try {
             StreamConnection stream;
-            while (!dead && !inbox.full() && (stream = server.accept()) != null) {
-                Wire wire = new Wire(accepted.incrementAndGet(), stream, inbox);
+            for (int i = 0; i < most && !dead && !inbox.full() && (stream = server.accept()) != null; i++) {
+                Wire wire = new Wire(accepted.incrementAndGet(), stream, inbox, watcher);
                 wires.put(wire.conn, wire);
                 SocketAddress peer = stream.getPeerAddress();
                 inbox.add(new NetEvent.Accepted(wire.conn, listener, peer instanceof InetSocketAddress inet
@@ -347,6 +400,12 @@
             }
         } catch (IOException e) {
             log.warn("accepting on {} failed: {}", listener, e.getMessage());
+            server.suspendAccepts();
+            io.executeAfter(() -> {
+                if (listeners.get(listener) == server) {
+                    server.resumeAccepts();
+                }
+            }, ACCEPT_REST_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -368,7 +427,7 @@
                     IoUtils.safeClose(stream); // the machine has closed it meanwhile
                     return;
                 }
-                Wire wire = new Wire(conn, stream, inbox);
+                Wire wire = new Wire(conn, stream, inbox, watcher);
                 wires.put(conn, wire);
                 inbox.add(new NetEvent.Connected(conn));
                 wire.start();
--- a/net/src/main/java/garnetreel/net/Wire.java
+++ b/net/src/main/java/garnetreel/net/Wire.java
@@ -4,8 +4,10 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
 import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
@@ -13,34 +15,59 @@
  * One connection. What is read is handed over in pieces, a few at a time: a machine that is behind is not sent more.
  * Writes are tried at the end of a turn, as most fit into the socket at once; what does not fit goes when the socket
  * has room.
+ *
+ * <p>This is the one place that decides how a connection ends. In order: all is sent, the sending side is shut down, and
+ * what comes is read and dropped until the peer's end (RFC 9112, 9.6). Guards against a close over bytes that lie unread or
+ * come just then: that is a reset, and a reset can destroy an answer that the peer has not read yet.
  */
 final class Wire {
     /** Pieces read and not yet handled by the machine; past it the socket is not read. */
     static final int CREDITS = 4;
     /** Largest piece; also the size of an I/O thread's buffer. */
     static final int PIECE = 128 << 10;
+    /** A connection that is being closed and has not sent all by then is cut. */
+    private static final long SEND_MILLIS = 5_000;
+    /** The peer's end is waited for so long after the shutdown, and for so many bytes. */
+    static final long LINGER_MILLIS = 1_000;
+    private static final int LINGER_BYTES = 1 << 20;
     private static final int GATHER = 64;
     private static final ThreadLocal<ByteBuffer> BUFFER = ThreadLocal.withInitial(
             () -> ByteBuffer.allocateDirect(PIECE));
 
+    /** Who is told of the steps of a close in order; on the I/O thread. */
+    interface Closing {
+        /** All is sent and the sending side shut down; the peer's end is waited for. */
+        void lingers(Wire wire);
+
+        /** It is over. */
+        void over(Wire wire);
+    }
+
+    /** OPEN; SENDING what is left before the shutdown; LINGERING for the peer's end; OVER. */
+    private enum Phase { OPEN, SENDING, LINGERING, OVER }
+
     final long conn;
     private final Inbox inbox;
     private final StreamConnection stream;
     private final ConduitStreamSourceChannel source;
     private final ConduitStreamSinkChannel sink;
+    private final Closing closing;
     private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
     /** All below is guarded by this object's lock. */
+    private Phase phase = Phase.OPEN;
     private int credits = CREDITS;
     private boolean wanted = true;
-    private boolean ended;
-    private boolean closing;
     private boolean writing;
+    private boolean peerEnded;
     private int drained;
+    private int dropped;
+    private XnioExecutor.Key limit;
 
-    Wire(long conn, StreamConnection stream, Inbox inbox) {
+    Wire(long conn, StreamConnection stream, Inbox inbox, Closing closing) {
         this.conn = conn;
         this.inbox = inbox;
         this.stream = stream;
+        this.closing = closing;
         this.source = stream.getSourceChannel();
         this.sink = stream.getSinkChannel();
     }
@@ -57,7 +84,7 @@
         ByteBuffer buffer = BUFFER.get();
         while (true) {
             synchronized (this) {
-                if (ended || !wanted || credits == 0) {
+                if (phase == Phase.OVER || phase == Phase.OPEN && (!wanted || credits == 0)) {
                     source.suspendReads();
                     return;
                 }
@@ -67,32 +94,43 @@
             try {
                 got = source.read(buffer);
             } catch (IOException e) {
-                over(e.getMessage());
+                broken(false, e.getMessage());
                 return;
             }
             if (got == 0) {
                 return;
             }
             if (got < 0) {
-                over("closed by the peer");
+                ended();
                 return;
             }
-            ByteBuffer piece = ByteBuffer.allocate(got);
-            piece.put(buffer.flip()).flip();
-            synchronized (this) {
-                if (ended) {
-                    return;
+            if (!handOver(buffer.flip())) {
+                return;
+            }
+        }
+    }
+
+    /** Hands a piece to the machine, or drops it once the machine has closed the connection; whether to read on. */
+    private boolean handOver(ByteBuffer read) {
+        synchronized (this) {
+            if (phase != Phase.OPEN) {
+                dropped += read.remaining();
+                if (dropped > LINGER_BYTES) {
+                    cut();
                 }
-                credits--;
+                return phase != Phase.OVER;
             }
-            inbox.add(new NetEvent.Received(conn, piece));
+            credits--;
         }
+        ByteBuffer piece = ByteBuffer.allocate(read.remaining());
+        inbox.add(new NetEvent.Received(conn, piece.put(read).flip()));
+        return true;
     }
 
     /** The machine has handled a piece. */
     void handled() {
         synchronized (this) {
-            if (credits++ == 0 && wanted && !ended) {
+            if (credits++ == 0 && wanted && phase == Phase.OPEN) {
                 source.resumeReads();
             }
         }
@@ -102,7 +140,7 @@
     void reading(boolean on) {
         synchronized (this) {
             wanted = on;
-            if (on && credits > 0 && !ended) {
+            if (on && credits > 0 && phase == Phase.OPEN) {
                 source.resumeReads();
             }
         }
@@ -112,7 +150,7 @@
 
     void write(ByteBuffer data) {
         synchronized (this) {
-            if (!ended && !closing) {
+            if (phase == Phase.OPEN) {
                 out.add(data);
             }
         }
@@ -121,7 +159,7 @@
     /** Writes what fits; called once after a turn that wrote. Gives the bytes that have left since it was last asked. */
     int flush() {
         synchronized (this) {
-            if (!writing && !ended) {
+            if (!writing && phase != Phase.OVER) {
                 push();
             }
             return takeDrained();
@@ -137,7 +175,7 @@
     private void writable() {
         int bytes;
         synchronized (this) {
-            if (ended) {
+            if (phase == Phase.OVER) {
                 sink.suspendWrites();
                 return;
             }
@@ -180,15 +218,12 @@
                     writing = false;
                     sink.suspendWrites();
                 }
-                if (closing) {
-                    ended = true;
-                    sink.shutdownWrites();
-                    sink.flush();
-                    IoUtils.safeClose(stream);
+                if (phase == Phase.SENDING) {
+                    shutDown();
                 }
             }
         } catch (IOException e) {
-            over(e.getMessage());
+            broken(false, e.getMessage());
         }
     }
 
@@ -208,31 +243,94 @@
     /** The machine ends the connection. */
     void close(boolean abort) {
         synchronized (this) {
-            if (ended || closing) {
+            if (abort) {
+                cut();
+            } else if (phase == Phase.OPEN) {
+                phase = Phase.SENDING;
+                cutAfter(SEND_MILLIS);
+                if (!peerEnded) {
+                    source.resumeReads(); // also where the machine had not wanted more
+                }
+                if (!writing) {
+                    push();
+                }
+            }
+        }
+    }
+
+    /** Everything has been sent; only under the lock. */
+    private void shutDown() throws IOException {
+        sink.shutdownWrites();
+        sink.flush();
+        if (peerEnded) {
+            cut();
+            return;
+        }
+        phase = Phase.LINGERING;
+        cutAfter(LINGER_MILLIS);
+        closing.lingers(this);
+    }
+
+    private void cutAfter(long millis) {
+        dropLimit();
+        limit = stream.getIoThread().executeAfter(this::cut, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void dropLimit() {
+        if (limit != null) {
+            limit.remove();
+            limit = null;
+        }
+    }
+
+    /** Closes the socket as it is; with nothing unread and all sent the peer sees no difference. Done once. */
+    void cut() {
+        synchronized (this) {
+            if (phase == Phase.OVER) {
                 return;
             }
-            closing = true;
-            if (abort) {
-                ended = true;
-                out.clear();
-                IoUtils.safeClose(stream);
-            } else if (!writing) {
-                push();
+            phase = Phase.OVER;
+            dropLimit();
+            int unsent = takeDrained();
+            for (ByteBuffer one : out) {
+                unsent += one.remaining();
+            }
+            out.clear();
+            IoUtils.safeClose(stream);
+            if (unsent > 0) {
+                inbox.add(new NetEvent.Drained(conn, unsent)); // nobody waits any more for these to leave
             }
         }
+        closing.over(this);
+    }
+
+    /** The peer has ended its sending. */
+    private void ended() {
+        synchronized (this) {
+            if (phase == Phase.SENDING) {
+                peerEnded = true; // it may still read
+                source.suspendReads();
+                return;
+            }
+        }
+        broken(true, "closed by the peer");
     }
 
     /** The connection ended by itself. */
-    private void over(String why) {
+    private void broken(boolean inOrder, String why) {
         boolean tell;
         synchronized (this) {
-            tell = !ended && !closing;
-            ended = true;
-            out.clear();
+            tell = phase == Phase.OPEN;
+            if (tell) {
+                phase = Phase.OVER;
+                out.clear();
+                IoUtils.safeClose(stream);
+            }
         }
-        IoUtils.safeClose(stream);
         if (tell) {
-            inbox.add(new NetEvent.Closed(conn, true, why == null ? "broken" : why));
+            inbox.add(new NetEvent.Closed(conn, true, inOrder, why == null ? "broken" : why));
+        } else {
+            cut();
         }
     }
 }
--- a/policy/src/main/java/garnetreel/policy/Control.java
+++ b/policy/src/main/java/garnetreel/policy/Control.java
@@ -56,9 +56,11 @@
     private static final double ASKED_MEMORY = 6e6;
     private static final long SERVED_MEMORY = 60_000_000;
     private static final long SERVED_LEAST = 4_000_000;
-    /** Back-off between asks for the list: first, and at most. */
+    /** Mean back-off between asks for the list, first and at most: in all 6 s are allowed. */
     private static final long ASK_FIRST = 500_000;
-    private static final long ASK_MOST = 4_000_000;
+    private static final long ASK_MOST = 1_000_000;
+    /** An ask of which nothing is heard, not even that it failed, is repeated after this long. */
+    private static final long ASK_UNHEARD = 4_000_000;
     /** Look again after this long while something is held, and while something is out. */
     private static final long LOOK_HELD = 5_000;
     private static final long LOOK_OUT = 50_000;
@@ -87,6 +89,8 @@
     private final Map<Long, KeyLine> keys = new LinkedHashMap<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private final ArrayDeque<Long> extras = new ArrayDeque<>();
+    /** Lanes to whose node a start was told in this turn. */
+    private final List<Lane> started = new ArrayList<>();
     private final long tightestAim;
     private List<Action> out = new ArrayList<>();
     private boolean begun, watching;
@@ -300,6 +304,9 @@
                 alarmAt = Long.MAX_VALUE;
             }
         }
+        // What is held since before a node came up must not rush to it; who left in this turn is gone.
+        started.forEach(l -> List.copyOf(l.held).stream().filter(r -> !admitted(r)).forEach(this::giveUp));
+        started.clear();
         followList();
         expire();
         nodes.values().forEach(this::watchSilence);
@@ -338,7 +345,7 @@
     private void followList() {
         if (settings.subscribe() && !watching && now >= askAt) {
             out.add(new Watch(true));
-            askAt = now + Math.max(ASK_MOST, rules.askEvery());
+            askAt = now + Math.max(ASK_UNHEARD, rules.askEvery());
         }
     }
 
@@ -366,8 +373,7 @@
                 node.startedAt = entry.startedAt();
                 node.window = 1;
                 node.part = 1; // what was learnt before the restart is void; the cold rate acts
-                // What is held since before it came up must not rush to it.
-                List.copyOf(lane(node.shard).held).stream().filter(r -> !admitted(r)).forEach(this::giveUp);
+                started.add(lane(node.shard));
             }
         }
     }
@@ -627,11 +633,16 @@
     private boolean mayResend(Request request) {
         return switch (request.unproven == 0 ? Effect.REPEATABLE : request.kind.effect()) {
             case REPEATABLE -> true;
-            case KEYED -> now < request.firstRun + request.kind.window() - lead();
+            case KEYED -> now < repeatsEnd(request);
             case ONCE -> false;
         };
     }
 
+    /** When a repeat of a keyed request may no longer begin. */
+    private long repeatsEnd(Request request) {
+        return request.firstRun + request.kind.window() - lead();
+    }
+
     private boolean inGroup(Request request, Node node) {
         if (request.unproven == 0 || request.kind.effect() == Effect.REPEATABLE || request.ranAt == node) {
             return true;
@@ -683,6 +694,7 @@
             request.flow.limit.draw(request.units);
         }
         request.drawn = true;
+        boolean windowed = request.unproven > 0 && request.kind.effect() == Effect.KEYED;
         if (request.unproven == 0) {
             request.firstRun = now;
             request.ranAt = node;
@@ -697,7 +709,7 @@
         attempt.sentAt = now;
         request.attempts.add(attempt);
         node.out.add(attempt);
-        out.add(new Send(request.id, node.address, 0));
+        out.add(new Send(request.id, node.address, 0, windowed ? repeatsEnd(request) - now : 0));
     }
 
     // ---------------------------------------------------------------- nodes: cold, suspect, deep
--- a/policy/src/main/java/garnetreel/policy/Scheduler.java
+++ b/policy/src/main/java/garnetreel/policy/Scheduler.java
@@ -94,8 +94,17 @@
     /** Something the host's program has to do. */
     sealed interface Action { }
 
-    /** Starts an attempt; {@code timeout} 0 means until the client quits. */
-    record Send(long id, String node, long timeout) implements Action { }
+    /**
+     * Starts an attempt.
+     *
+     * @param timeout 0 means until the client quits
+     * @param beginWithin where its connection takes longer than this to come up, it must not begin; 0 for no such limit
+     */
+    record Send(long id, String node, long timeout, long beginWithin) implements Action {
+        public Send(long id, String node, long timeout) {
+            this(id, node, timeout, 0);
+        }
+    }
 
     /** Stops waiting for an attempt; whether its work stops is the node's affair. */
     record Cancel(long id, int attempt) implements Action { }
