--- a/cli/src/test/java/garnetreel/cli/EndingsTest.java
+++ b/cli/src/test/java/garnetreel/cli/EndingsTest.java
@@ -29,7 +29,8 @@
 
 /**
  * Whatever ends something, crossed with what is still owed in that instant, on real sockets. Each crossing is forced: a peer
- * takes its step after the step before was seen. Each of these tests failed before the mend that it came with.
+ * takes its step after the step before was seen. Each of these tests failed before the mend that it came with, but for
+ * the one of a request that crosses the shutdown: that one guards the reading of what comes after it.
  */
 @Timeout(120)
 class EndingsTest {
