--- a/core/src/main/java/garnetreel/core/platform/ClientFront.java
+++ b/core/src/main/java/garnetreel/core/platform/ClientFront.java
@@ -39,7 +39,8 @@
 
     /** Who is told of requests. */
     interface Listener {
-        void request(long conn, HttpRequest request);
+        /** @param came when its last byte came; it may have waited for the one before it since */
+        void request(long conn, HttpRequest request, long came);
 
         /** The client of an open request has left. */
         void left(long conn);
@@ -50,10 +51,13 @@
 
     private static final State[] STATES = State.values();
 
+    /** Bytes that wait, and when they came. */
+    private record Piece(ByteBuffer data, long came) { }
+
     private static final class Client {
         final long conn;
         final RequestParser parser = new RequestParser();
-        final ArrayDeque<ByteBuffer> unread = new ArrayDeque<>(1);
+        final ArrayDeque<Piece> unread = new ArrayDeque<>(1);
         State state = State.SILENT;
         long since;
         int unreadBytes;
@@ -73,6 +77,7 @@
     private boolean draining;
     private List<NetAction> actions = new ArrayList<>();
     private long now;
+    private long came;
     private long turnedAway;
     /** Bytes of answers that clients have not read. */
     private int bytes;
@@ -87,8 +92,10 @@
         }
     }
 
-    void at(long time, List<NetAction> to) {
+    /** @param since the time as of which what is read in this turn has come */
+    void at(long time, long since, List<NetAction> to) {
         now = time;
+        came = since;
         actions = to;
     }
 
@@ -177,7 +184,7 @@
         if (client.last) {
             return; // nothing more is answered on it
         }
-        client.unread.add(data);
+        client.unread.add(new Piece(data, came));
         client.unreadBytes += data.remaining();
         unread += data.remaining();
         pump(client);
@@ -197,7 +204,7 @@
         } else if (client.toDrain <= 0 && client.state == State.WRITING) {
             move(client, State.IDLE);
             pump(client);
-            if (draining && client.state == State.IDLE) {
+            if ((draining || client.last) && client.state == State.IDLE) {
                 close(client, false);
             }
         }
@@ -208,18 +215,18 @@
         try {
             while ((client.state == State.SILENT || client.state == State.IDLE || client.state == State.BEGUN)
                     && !client.unread.isEmpty() && clients.containsKey(client.conn)) {
-                ByteBuffer piece = client.unread.peekFirst();
-                int before = piece.remaining();
-                HttpRequest request = client.parser.next(piece);
-                client.unreadBytes -= before - piece.remaining();
-                unread -= before - piece.remaining();
-                if (!piece.hasRemaining()) {
+                Piece piece = client.unread.peekFirst();
+                int before = piece.data().remaining();
+                HttpRequest request = client.parser.next(piece.data());
+                client.unreadBytes -= before - piece.data().remaining();
+                unread -= before - piece.data().remaining();
+                if (!piece.data().hasRemaining()) {
                     client.unread.removeFirst();
                 }
                 if (request != null) {
                     move(client, State.BUSY);
                     client.last = request.fields().holds("Connection", "close");
-                    listener.request(client.conn, request);
+                    listener.request(client.conn, request, piece.came());
                 } else if (client.state == State.IDLE || draining && client.state == State.SILENT) {
                     move(client, State.BEGUN);
                 }
--- a/core/src/main/java/garnetreel/core/platform/PlatformHead.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformHead.java
@@ -60,8 +60,8 @@
         ConnectionNumbers numbers = new ConnectionNumbers();
         front = new ClientFront(bounds, new ClientFront.Listener() {
             @Override
-            public void request(long conn, HttpRequest request) {
-                requested(conn, request);
+            public void request(long conn, HttpRequest request, long came) {
+                requested(conn, request, came);
             }
 
             @Override
@@ -88,10 +88,10 @@
     public void turn(long time, List<NetEvent> told, List<NetAction> actions) {
         now = Math.max(now, time);
         long came = stops.turn(now, front.connections() > 0, actions);
-        front.at(now, actions);
+        front.at(now, came, actions);
         shelves.at(now, actions);
         discovery.at(now, actions);
-        table.at(now, came, actions);
+        table.at(now, actions);
         if (!begun) {
             begun = true;
             discovery.remembered(settings.known());
@@ -159,7 +159,7 @@
         }
     }
 
-    private void requested(long conn, HttpRequest request) {
+    private void requested(long conn, HttpRequest request, long came) {
         if (request.path().equals(Headers.READY)) {
             boolean ready = shelves.known() > 0 && !draining;
             front.answer(conn, HttpWriter.response(ready ? 200 : 503), NOTHING);
@@ -167,7 +167,7 @@
             // What comes now could still be out when the process is killed; refused, it may be asked elsewhere at once.
             table.turnAway(conn);
         } else {
-            table.arrived(conn, request);
+            table.arrived(conn, request, came);
         }
     }
 
--- a/core/src/main/java/garnetreel/core/platform/RequestTable.java
+++ b/core/src/main/java/garnetreel/core/platform/RequestTable.java
@@ -79,7 +79,6 @@
             .thenComparingLong(o -> o.number));
     private List<NetAction> actions = new ArrayList<>();
     private long now;
-    private long came;
     private long last;
     private int bytes;
 
@@ -93,10 +92,8 @@
         settings.scheduling().plans().forEach(p -> plans.add(p.name()));
     }
 
-    /** @param since the time as of which what is read in this turn has come */
-    void at(long time, long since, List<NetAction> to) {
+    void at(long time, List<NetAction> to) {
         now = time;
-        came = since;
         actions = to;
     }
 
@@ -107,8 +104,12 @@
 
     // ---------------------------------------------------------------- arrivals
 
-    /** Takes a client's request, or answers it at once if it can't be one. */
-    void arrived(long conn, HttpRequest request) {
+    /**
+     * Takes a client's request, or answers it at once if it can't be one.
+     *
+     * @param came when its last byte came: its client's time runs from then, also while it waits behind another
+     */
+    void arrived(long conn, HttpRequest request, long came) {
         Operation operation;
         Arrived event;
         try {
@@ -128,7 +129,7 @@
                 answer(conn, CONFLICT, "a request of this id is open");
                 return;
             }
-            event = event(request, kind, write);
+            event = event(request, kind, write, came);
             operation = new Operation(event.id(), id.toLowerCase(Locale.ROOT), conn, request, event.validUntil());
         } catch (ProtocolException e) {
             answer(conn, BAD_REQUEST, e.getMessage());
@@ -146,7 +147,7 @@
         module.accept(event);
     }
 
-    private Arrived event(HttpRequest request, RequestClass kind, boolean write) throws ProtocolException {
+    private Arrived event(HttpRequest request, RequestClass kind, boolean write, long came) throws ProtocolException {
         Fields fields = request.fields();
         String plan = fields.only(Headers.PLAN);
         if (plan == null || !plans.contains(plan)) {
--- a/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -300,6 +300,18 @@
         assertEquals(2, rig.told(Arrived.class).size());
     }
 
+    /** Its client's time runs while it waits behind another; counted from its turn it would be told too long. */
+    @Test
+    void aPipelinedRequestIsAsOldAsItsLastByte() throws JsonException {
+        Rig rig = new Rig(PlatformHeadTest::toShelf).accept(1)
+                .receive(1, Rig.request(ID, "") + Rig.request("00000000000000aa", ""));
+        long came = rig.now;
+        rig.tell(new NetEvent.Connected(rig.lastOpened)).pass(300_000).receive(rig.lastOpened, Rig.answer("result", ""));
+        assertEquals(came + 480_000, rig.told(Arrived.class).get(1).validUntil());
+        rig.tell(new NetEvent.Connected(rig.lastOpened));
+        assertTrue(rig.sent(rig.lastOpened).contains("X-Time-Left: 0.1"), rig.sent(rig.lastOpened));
+    }
+
     @Test
     void aRefusalSaysWhenToComeBack() throws JsonException {
         Rig rig = new Rig(e -> e instanceof Arrived a ? List.of(new Refuse(a.id(), 1_500_000)) : List.of());
