Fields that a head does not know pass on to the shelf: a keyed class's requests carry one

Cause: Attempt passed on three fields by name (RequestTable.send before it) and dropped all others. Ruled out: the body and the path, which pass as they came. Change: HttpWriter.passOn writes all fields but those of the connection (RFC 9110, 7.6.1, and those that Connection names) and the time left. Test: PlatformHeadTest.fieldsPassOnButThoseOfTheConnection.

--- a/codec/src/main/java/garnetreel/codec/http/Fields.java
+++ b/codec/src/main/java/garnetreel/codec/http/Fields.java
@@ -111,4 +111,12 @@
     public int size() {
         return names.size();
     }
+
+    String name(int at) {
+        return names.get(at);
+    }
+
+    String value(int at) {
+        return values.get(at);
+    }
 }
--- a/codec/src/main/java/garnetreel/codec/http/HttpWriter.java
+++ b/codec/src/main/java/garnetreel/codec/http/HttpWriter.java
@@ -7,6 +7,10 @@
 public final class HttpWriter {
     private static final int ROOM = 256;
 
+    /** Fields that concern one connection only, or that whoever writes a message states itself (RFC 9110, 7.6.1). */
+    private static final String[] HOP_BY_HOP = {"Connection", "Host", "Content-Length", "Transfer-Encoding", "Keep-Alive", "TE",
+        "Trailer", "Upgrade", "Expect", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization"};
+
     private final StringBuilder head = new StringBuilder(ROOM);
 
     private HttpWriter(String startLine) {
@@ -27,6 +31,31 @@
         return this;
     }
 
+    /**
+     * Adds the fields of a message that passes through, as they came: what a head does not know, such as an idempotency key,
+     * may be what its shelf goes by.
+     *
+     * @param but a field that the caller states itself
+     */
+    public HttpWriter passOn(Fields fields, String but) {
+        for (int at = 0; at < fields.size(); at++) {
+            String name = fields.name(at);
+            if (!name.equalsIgnoreCase(but) && !hopByHop(name) && !fields.holds("Connection", name)) {
+                field(name, fields.value(at));
+            }
+        }
+        return this;
+    }
+
+    private static boolean hopByHop(String name) {
+        for (String one : HOP_BY_HOP) {
+            if (one.equalsIgnoreCase(name)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Ends the head and adds the body; a request without one states no length. */
     public ByteBuffer body(byte[] body, boolean stateLength) {
         if (stateLength) {
--- a/core/src/main/java/garnetreel/core/platform/Attempt.java
+++ b/core/src/main/java/garnetreel/core/platform/Attempt.java
@@ -1,15 +1,12 @@
 package garnetreel.core.platform;
 
-import garnetreel.codec.http.Fields;
 import garnetreel.codec.http.HttpRequest;
 import garnetreel.codec.http.HttpWriter;
 import java.nio.ByteBuffer;
-import java.util.List;
 
 /** One send of a request. Each is its own: there is no equality but identity. */
 final class Attempt {
     private static final long LEAST_LEFT = 1_000;
-    private static final List<String> PASSED_ON = List.of(Headers.PLAN, Headers.KEY, Headers.FACTS);
 
     /** The module's number of the request. */
     final long request;
@@ -34,15 +31,9 @@
 
     /** Its bytes as of the time at which they are written: a connection may have come up late, and the time left ran on. */
     ByteBuffer encode(long now) {
-        Fields fields = message.fields();
         HttpWriter writer = HttpWriter.request(message.method(), message.target(), Headers.HOST)
-                .field(Headers.ID, fields.first(Headers.ID))
-                .field(Headers.TIME_LEFT, Digits.seconds(Math.max(LEAST_LEFT, until - now)));
-        for (String name : PASSED_ON) {
-            if (fields.has(name)) {
-                writer.field(name, fields.first(name));
-            }
-        }
+                .field(Headers.TIME_LEFT, Digits.seconds(Math.max(LEAST_LEFT, until - now)))
+                .passOn(message.fields(), Headers.TIME_LEFT);
         return writer.body(message.body(), message.method().equals("PUT"));
     }
 }
--- a/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -68,6 +68,18 @@
         assertEquals(new PlatformHead.Held(1, 0, 1, 0), rig.head.held());
     }
 
+    /** What the head does not know may be what the shelf goes by; what concerns the client's connection stays behind. */
+    @Test
+    void fieldsPassOnButThoseOfTheConnection() throws JsonException {
+        Rig rig = out("Idempotency-Key: \"8e03978e\"\r\nX-Other: a, b\r\nX-Hop: c\r\nConnection: keep-alive, X-Hop\r\nTE: trailers\r\n");
+        String passed = rig.sent(rig.lastOpened);
+        assertTrue(passed.contains("\r\nIdempotency-Key: \"8e03978e\"\r\n") && passed.contains("\r\nX-Other: a, b\r\n"), passed);
+        assertFalse(passed.contains("X-Hop") || passed.contains("Connection") || passed.contains("TE:"), passed);
+        for (String once : List.of("Host: ", "X-Time-Left: ", "Content-Length: ", "X-Correlation-Id: ")) {
+            assertEquals(2, passed.split("\r\n" + once, -1).length, once);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"503 x,X-Unprocessed: 1,FULL", "504 x,X-Unprocessed: 1,MOOT", "503 x,A: b,ERROR", "500 x,A: b,ERROR", "400 x,A: b,ERROR"})
     void whatComesBackHasOneMeaning(String status, String field, Outcome expected) throws JsonException {
