--- a/core/src/main/java/garnetreel/core/platform/RequestTable.java
+++ b/core/src/main/java/garnetreel/core/platform/RequestTable.java
@@ -220,8 +220,7 @@
 
     private void finish(Operation operation, HttpWriter head, byte[] body) {
         if (operation == null || operation.over) {
-            defect("answers a request that is over");
-            return;
+            return; // its client left in the turn in which the module decided
         }
         front.answer(operation.conn, head, body);
         over(operation);
