--- a/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -107,6 +107,17 @@
         assertTrue(silent.closed.contains(silent.lastOpened));
     }
 
+    /** The window of a keyed request ends while the connection comes up: nothing is sent, and it is known not to have run. */
+    @Test
+    void nothingBeginsAfterTheTimeInWhichItMay() throws JsonException {
+        Rig rig = new Rig(e -> e instanceof Arrived a ? List.of(new Send(a.id(), "s-1", 0, 100_000)) : List.of());
+        rig.accept(1).receive(1, Rig.request(ID, "")).pass(99_000);
+        assertEquals(0, rig.told(Ended.class).size());
+        rig.pass(1_000).tell(new NetEvent.Connected(rig.lastOpened));
+        assertEquals(Outcome.MOOT, outcome(rig));
+        assertEquals("", rig.sent(rig.lastOpened));
+    }
+
     /** A shelf that vanished says nothing; the attempt ends with the client's time, and so does its connection. */
     @Test
     void silenceEndsWithTheClientsTime() throws JsonException {
@@ -477,6 +488,17 @@
         assertEquals(ListKind.ALL, last(rig), "the module hears of no break");
     }
 
+    /** A back-off was meant for the old address: the new one is asked at once, and the module's next word opens no second call. */
+    @Test
+    void discoveryMovesDuringABackOff() throws JsonException {
+        Rig rig = watching();
+        rig.tell(new NetEvent.Closed(rig.lastOpened, true, "reset"));
+        assertEquals(1, rig.dialled.size(), "the module waits");
+        String moved = String.format(Rig.CONFIG, 512, "").replace("127.0.0.1:8500", "127.0.0.1:8501");
+        rig.tell(new NetEvent.Told(new PlatformHead.Reconfigure(PlatformSettings.read(moved.getBytes(StandardCharsets.UTF_8)))));
+        assertEquals(List.of("127.0.0.1:8500", "127.0.0.1:8501"), rig.dialled);
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "{", "[]", "{\"name\":\"n0\"}", "{\"listen\":7}"})
     void whatIsNoConfigurationIsSaid(String text) {
