--- a/cli/src/test/java/garnetreel/cli/EndingsTest.java
+++ b/cli/src/test/java/garnetreel/cli/EndingsTest.java
@@ -17,6 +17,8 @@
 import garnetreel.standin.peer.ScriptedPeer.End;
 import garnetreel.standin.peer.ScriptedPeer.Line;
 import garnetreel.standin.peer.ScriptedPeer.Rest;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
@@ -290,6 +292,28 @@
         }
     }
 
+    /** More clients than the bound connect in one moment, each with a whole request: what has been read is answered. */
+    @Test
+    void aRequestThatHasBeenReadIsAnsweredAtTheBoundOfClients() throws Exception {
+        try (HeadOnSockets head = HeadOnSockets.withDescriptors(88, discovery, shelf);
+                Line first = ScriptedPeer.connect(head.address)) {
+            head.haltAt(event -> event instanceof Arrived);
+            first.send(HeadOnSockets.request(1, 50));
+            head.untilHalted();
+            List<Line> clients = new ArrayList<>();
+            for (int i = 2; i <= 24; i++) {
+                clients.add(ScriptedPeer.connect(head.address).send(HeadOnSockets.request(i, 50)));
+            }
+            head.goOn();
+            head.clock.addAndGet(1_000);
+            for (Line client : clients) {
+                head.pass(0);
+                assertTrue(client.read().startsWith("HTTP/1.1 "), "read and closed with no answer");
+                client.close();
+            }
+        }
+    }
+
     // ---------------------------------------------------------------- lists
 
     /** From the last word of a watch to the next call there are well under the 6 s after which all counts as told. */
--- a/cli/src/test/java/garnetreel/cli/HeadOnSockets.java
+++ b/cli/src/test/java/garnetreel/cli/HeadOnSockets.java
@@ -55,6 +55,12 @@
         this(config(discovery.address(), shelf.address()));
     }
 
+    /** A head with so many descriptors, which bound the clients that it holds. */
+    static HeadOnSockets withDescriptors(int descriptors, ScriptedPeer discovery, ScriptedPeer shelf) throws Exception {
+        String text = text(discovery.address(), shelf.address()).replace("\"sockets\": 512", "\"sockets\": " + descriptors);
+        return new HeadOnSockets(PlatformSettings.read(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
     private HeadOnSockets(PlatformSettings settings) throws Exception {
         Control control = new Control(settings.scheduling(), settings.seed());
         Scheduler spied = (now, events) -> {
@@ -118,6 +124,16 @@
         throw new AssertionError("no " + type.getSimpleName() + " came");
     }
 
+    /** Waits until the module has been told, or has decided, something that fits. */
+    Object await(Predicate<Object> fits) throws InterruptedException {
+        for (Object one = seen.poll(WAIT_SECONDS, TimeUnit.SECONDS); one != null; one = seen.poll(WAIT_SECONDS, TimeUnit.SECONDS)) {
+            if (fits.test(one)) {
+                return one;
+            }
+        }
+        throw new AssertionError("nothing that fits came");
+    }
+
     /** Fails if there is nothing of a type among what has been seen and not yet waited for. */
     void drainSeen(Class<?> type) {
         List<Object> all = new ArrayList<>();
--- a/cli/src/test/java/garnetreel/cli/SignalsTest.java
+++ b/cli/src/test/java/garnetreel/cli/SignalsTest.java
@@ -8,9 +8,11 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -134,6 +136,42 @@
         }
     }
 
+    /** Where discovery moved last, once nothing has been logged for so many seconds; {@code before} if it did not move. */
+    private String lastMove(int quietSeconds, String before) throws InterruptedException {
+        Pattern moves = Pattern.compile("discovery moves from \\S+ to (\\S+)");
+        String last = before;
+        for (String line = log.poll(quietSeconds, TimeUnit.SECONDS); line != null; line = log.poll(quietSeconds, TimeUnit.SECONDS)) {
+            Matcher matcher = moves.matcher(line);
+            last = matcher.find() ? matcher.group(1) : last;
+        }
+        return last;
+    }
+
+    /** The first of two signals is held up while it reads; the head ends on what the file says last, not on what was read last. */
+    @Test
+    void theLastOfTwoConfigurationsHolds() throws Exception {
+        try (ScriptedPeer second = ScriptedPeer.listening(); ScriptedPeer third = ScriptedPeer.listening()) {
+            run(HeadOnSockets.text(discovery.address(), shelf.address()));
+            untilSaid(LISTENS);
+            Path pipe = directory.resolve("pipe");
+            assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+            Files.delete(file());
+            Files.createLink(file(), pipe);
+            signal("HUP");
+            String last;
+            // Opening it waits for its reader: the first signal's read has begun.
+            try (OutputStream slow = Files.newOutputStream(pipe)) {
+                Path next = Files.writeString(directory.resolve("next"), HeadOnSockets.text(third.address(), shelf.address()));
+                Files.move(next, file(), StandardCopyOption.ATOMIC_MOVE);
+                signal("HUP");
+                last = lastMove(1, null);
+                slow.write(HeadOnSockets.text(second.address(), shelf.address()).getBytes(StandardCharsets.UTF_8));
+            }
+            last = lastMove(3, last);
+            assertEquals(third.address(), last);
+        }
+    }
+
     /** Started under nohup it can't be told of a new configuration; it says so instead of ignoring it in silence. */
     @Test
     void aSignalThatCannotBeHandledIsSaid() throws Exception {
--- /dev/null
+++ b/cli/src/test/java/garnetreel/cli/StaleListTest.java
@@ -0,0 +1,105 @@
+package garnetreel.cli;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import garnetreel.policy.Scheduler.Ended;
+import garnetreel.policy.Scheduler.ListKind;
+import garnetreel.policy.Scheduler.NodeNews;
+import garnetreel.policy.Scheduler.Refuse;
+import garnetreel.policy.Scheduler.Send;
+import garnetreel.standin.peer.ScriptedPeer;
+import garnetreel.standin.peer.ScriptedPeer.Line;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Discovery can be reached and gives no list: after 6 s every change counts as told, so a server may have been drained
+ * without the head's knowing. Only a server that took on a request lately is known not to have been.
+ */
+@Timeout(120)
+class StaleListTest {
+    private static final long SECOND = 1_000_000;
+
+    private ScriptedPeer discovery;
+    private ScriptedPeer server;
+
+    @BeforeEach
+    void listen() throws Exception {
+        discovery = ScriptedPeer.listening();
+        server = ScriptedPeer.listening();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        discovery.close();
+        server.close();
+    }
+
+    private static void awaitList(HeadOnSockets head, ListKind kind) throws InterruptedException {
+        head.await(one -> one instanceof NodeNews news && news.kind() == kind);
+    }
+
+    /** Lets a watch deliver one list and then fall silent, and the next call wait for its answer in vain. */
+    private Line loseTheList(HeadOnSockets head, Runnable whileSilent) throws Exception {
+        try (Line watch = discovery.accept()) {
+            watch.read();
+            watch.send(HeadOnSockets.watch(HeadOnSockets.list(2, true, HeadOnSockets.entry(server.address(), "up"))));
+            awaitList(head, ListKind.ALL);
+            head.pass(3_200_000);
+            awaitList(head, ListKind.REFUSED);
+            whileSilent.run();
+            head.pass(800_000);
+            Line call = discovery.accept();
+            call.read();
+            return call;
+        }
+    }
+
+    @Test
+    void aServerOfWhichNothingIsKnownGetsNothingOnceTheListIsLost() throws Exception {
+        try (HeadOnSockets head = new HeadOnSockets(discovery, server); Line call = loseTheList(head, () -> { })) {
+            head.pass(2 * SECOND); // 6.0 s since the watch was last heard
+            try (Line client = ScriptedPeer.connect(head.address).send(HeadOnSockets.request(1, 50))) {
+                Object decided = head.await(one -> one instanceof Send || one instanceof Refuse);
+                assertInstanceOf(Refuse.class, decided);
+                assertTrue(client.read().startsWith("HTTP/1.1 503 "));
+                call.send(HeadOnSockets.watch(HeadOnSockets.list(3, true, HeadOnSockets.entry(server.address(), "up"))));
+                awaitList(head, ListKind.ALL);
+            }
+            try (Line client = ScriptedPeer.connect(head.address).send(HeadOnSockets.request(2, 50)); Line sent = server.accept()) {
+                assertTrue(sent.read().contains("0000000000000002"), "with the list back all is as before");
+                sent.send(HeadOnSockets.answer("result"));
+                assertTrue(client.read().endsWith("result"));
+            }
+        }
+    }
+
+    @Test
+    void aServerThatTookOnARequestLatelyGetsMore() throws Exception {
+        try (HeadOnSockets head = new HeadOnSockets(discovery, server)) {
+            Line unanswered = loseTheList(head, () -> serve(head, 1));
+            head.pass(2 * SECOND);
+            serve(head, 2);
+            head.pass(500_000); // discovery's answer has not been waited for in full yet
+            serve(head, 3);
+            unanswered.close();
+        }
+    }
+
+    private void serve(HeadOnSockets head, int number) {
+        try (Line client = ScriptedPeer.connect(head.address).send(HeadOnSockets.request(number, 50))) {
+            assertInstanceOf(Send.class, head.await(one -> one instanceof Send || one instanceof Refuse));
+            try (Line sent = server.accept()) {
+                sent.read();
+                sent.send(HeadOnSockets.answer("result").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+                assertTrue(client.read().endsWith("result"));
+                head.await(Ended.class);
+            }
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+}
