Endpoint leases: with the list lost for 6 s, only servers known not to drain get requests

Checked with a probe on a scratch copy that logged each call: calls that fail because discovery is down and those whose turn does not come end alike, 503 after 2.00 s, so a head can't tell an outage from an overload; only after the restarts do some end with 503 within 7 ms: the queue there is full. Lists stop for good at that moment. Cause: Control trusts its list for ever (news() keeps nodes usable), and comes back at the same pace however crowded discovery is. Change: ListFreshness (a module of its own) knows until when the list is current, from words on the watch (ListConfirmed) and moves of discovery (DiscoveryMoved, 4 s). Past that a server needs a lease of 6 s from the sending of a request that it took on; a turned-away one ends it. What no server may be sent is refused at once. A call turned away within 0.5 s backs off 3 s in the mean instead of 1.3 s. A move of discovery asks for the whole list: one that counts lower told nothing, or cost a failed call and a back-off of the 4 s.

--- a/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
+++ b/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
@@ -7,6 +7,9 @@
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetAction.Level;
 import garnetreel.core.link.ConnectionNumbers;
+import garnetreel.policy.Scheduler.DiscoveryMoved;
+import garnetreel.policy.Scheduler.Event;
+import garnetreel.policy.Scheduler.ListConfirmed;
 import garnetreel.policy.Scheduler.ListKind;
 import garnetreel.policy.Scheduler.NodeNews;
 import garnetreel.settings.Json;
@@ -38,7 +41,10 @@
     /** A watch says something every 2 s; one that says nothing for so long, and up to a random part more, is broken. */
     private static final long SILENCE = 2_700_000;
     private static final long SILENCE_SPREAD = 400_000;
+    /** A call that is turned away sooner than this did not wait for its turn: too many wait already. */
+    private static final long TURNED_AWAY_WITHIN = 500_000;
     private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
 
     /** A call that is out: a watch or one question. */
     private static final class Call {
@@ -51,6 +57,7 @@
         boolean begun;
         boolean told;
         long heardAt;
+        long connectedAt;
 
         Call(long conn, boolean watch, long silence, long now) {
             this.conn = conn;
@@ -61,7 +68,7 @@
     }
 
     private final ConnectionNumbers numbers;
-    private final Consumer<NodeNews> news;
+    private final Consumer<Event> events;
     private final ShelfLinks shelves;
     private final SplittableRandom random;
     private String address;
@@ -72,17 +79,20 @@
     private Call question;
     private List<NetAction> actions = new ArrayList<>();
     private long now;
+    private long came;
 
-    DiscoveryLink(PlatformSettings settings, ConnectionNumbers numbers, ShelfLinks shelves, Consumer<NodeNews> news) {
+    DiscoveryLink(PlatformSettings settings, ConnectionNumbers numbers, ShelfLinks shelves, Consumer<Event> events) {
         this.numbers = numbers;
-        this.news = news;
+        this.events = events;
         this.shelves = shelves;
         this.address = settings.discovery();
         this.random = new SplittableRandom(settings.seed());
     }
 
-    void at(long time, List<NetAction> to) {
+    /** @param since the time as of which what is read in this turn has come */
+    void at(long time, long since, List<NetAction> to) {
         now = time;
+        came = since;
         actions = to;
     }
 
@@ -90,7 +100,8 @@
     void remembered(ListUpdate known) {
         anyVersion = true;
         shelves.follow(known);
-        news.accept(known.news(ListKind.REMEMBERED));
+        events.accept(known.news(ListKind.REMEMBERED));
+        events.accept(new ListConfirmed(now));
     }
 
     /** Subscribes to changes, or ends the subscription. One that is being opened, or stands, goes on. */
@@ -118,6 +129,8 @@
         }
         actions.add(new NetAction.Note(Level.INFO, "discovery moves from " + address + " to " + to));
         address = to;
+        events.accept(new DiscoveryMoved());
+        anyVersion = true; // it may count from elsewhere, and tell nothing that is below a version of the old one's
         // What is out at the old address could answer after the new one; a back-off was meant for the old one.
         end(watch);
         watch = null;
@@ -145,6 +158,7 @@
     void connected(long conn) {
         call(conn).open = true;
         call(conn).heardAt = now;
+        call(conn).connectedAt = now;
         String target = Headers.LIST + (!call(conn).watch ? "" : anyVersion ? "?watch=1" : "?watch=1&from=" + version);
         actions.add(new NetAction.Write(conn, HttpWriter.request("GET", target, Headers.HOST).body(new byte[0], false)));
     }
@@ -171,13 +185,17 @@
     }
 
     private void failed(Call call, String why) {
+        failed(call, why, ListKind.REFUSED);
+    }
+
+    private void failed(Call call, String why, ListKind kind) {
         actions.add(new NetAction.Note(Level.INFO, "discovery: " + why));
         if (call == watch) {
             watch = null;
         } else {
             question = null;
         }
-        news.accept(new NodeNews(ListKind.REFUSED, List.of()));
+        events.accept(new NodeNews(kind, List.of()));
     }
 
     void received(long conn, ByteBuffer data) {
@@ -188,6 +206,9 @@
             if (call.parser.status() == OK && call.watch) {
                 call.begun = true;
                 objects(call, call.parser.part());
+                if (call.told) {
+                    events.accept(new ListConfirmed(came));
+                }
             } else if (answer != null) {
                 answered(call, answer);
             }
@@ -200,9 +221,14 @@
     private void answered(Call call, HttpResponse answer) throws JsonException, ProtocolException {
         if (answer.status() == OK) {
             objects(call, answer.body());
+            if (call.told) {
+                events.accept(new ListConfirmed(came));
+            }
         }
         end(call);
-        if (call.watch || answer.status() != OK) {
+        if (answer.status() == UNAVAILABLE && now - call.connectedAt < TURNED_AWAY_WITHIN) {
+            failed(call, "turned away at once, too many calls", ListKind.OVERLOADED);
+        } else if (call.watch || answer.status() != OK) {
             failed(call, answer.status() == OK ? "the watch ended" : "answered " + answer.status());
         } else {
             question = null;
@@ -236,7 +262,7 @@
         anyVersion = false;
         version = update.version();
         shelves.follow(update);
-        news.accept(update.news(update.whole() ? ListKind.ALL : ListKind.CHANGES));
+        events.accept(update.news(update.whole() ? ListKind.ALL : ListKind.CHANGES));
     }
 
     long wakeAt() {
--- a/core/src/main/java/garnetreel/core/platform/PlatformHead.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformHead.java
@@ -81,7 +81,7 @@
                 events.add(checked);
             }
         });
-        discovery = new DiscoveryLink(settings, numbers, shelves, news -> events.add(news));
+        discovery = new DiscoveryLink(settings, numbers, shelves, event -> events.add(event));
         table = new RequestTable(settings, bounds, shelves, front, event -> events.add(event));
     }
 
@@ -91,7 +91,7 @@
         long came = stops.turn(now, front.connections() > 0, actions);
         front.at(now, came, actions);
         shelves.at(now, actions);
-        discovery.at(now, actions);
+        discovery.at(now, came, actions);
         table.at(now, actions);
         if (!begun) {
             begun = true;
--- a/policy/src/main/java/garnetreel/policy/Control.java
+++ b/policy/src/main/java/garnetreel/policy/Control.java
@@ -59,6 +59,11 @@
     /** Mean back-off between asks for the list, first and at most: in all 6 s are allowed. */
     private static final long ASK_FIRST = 500_000;
     private static final long ASK_MOST = 1_300_000;
+    /**
+     * Mean back-off after discovery turned a call away at once. Guards against an overload that lasts: calls that waited too
+     * long are still handled, so as long as more come than are handled nobody's turn comes in time.
+     */
+    private static final long ASK_OVERLOADED = 3_000_000;
     /** An ask of which nothing is heard, not even that it failed, is repeated after this long. */
     private static final long ASK_UNHEARD = 4_000_000;
     /** Look again after this long while something is held, and while something is out. */
@@ -79,6 +84,7 @@
     private final Settings settings;
     private final Rules rules;
     private final SplittableRandom random;
+    private final ListFreshness freshness = new ListFreshness();
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Map<String, Plan> plans = new HashMap<>();
     private final Map<Trace, Long> givenUp = new LinkedHashMap<>();
@@ -235,6 +241,8 @@
         boolean usable;
         double window = WINDOW_START, part = 1, uncut = 1, late, answers;
         long startedAt, shrunkAt, partAt, cutAt, lateAt, overtook, brokenSince, lastBroken;
+        /** When a request was sent that it took on; until when a send to it may begin follows. */
+        long provenAt = ListFreshness.unproven();
         final List<Attempt> out = new ArrayList<>();
 
         Node(String address) {
@@ -296,6 +304,10 @@
                 ended(ended);
             } else if (event instanceof NodeNews news) {
                 news(news);
+            } else if (event instanceof ListConfirmed confirmed) {
+                freshness.confirmed(confirmed.asOf());
+            } else if (event instanceof DiscoveryMoved) {
+                freshness.moved(now);
             } else if (event instanceof Abandoned gone) {
                 close(requests.get(gone.id()));
             } else if (event instanceof StreamBegan began && requests.get(began.id()) != null) {
@@ -350,9 +362,10 @@
     }
 
     private void news(NodeNews news) {
-        if (news.kind() == ListKind.REFUSED) {
+        if (news.kind() == ListKind.REFUSED || news.kind() == ListKind.OVERLOADED) {
             watching = false;
-            askAt = now + (long) (askPause * (0.5 + random.nextDouble()));
+            long pause = news.kind() == ListKind.OVERLOADED ? ASK_OVERLOADED : askPause;
+            askAt = now + (long) (pause * (0.5 + random.nextDouble()));
             askPause = Math.min(ASK_MOST, 2 * askPause);
             remark("node list: call refused or subscription broken, asking again");
             return;
@@ -430,7 +443,7 @@
         int rank = request.from == request.flow.reserve ? 0 : request.from == request.flow.share ? 1 : 2;
         request.lane.asked(rank, request.units, now);
         if (node == null) {
-            return true;
+            return !stale(request.lane);
         }
         // A host that has just started has not yet seen what is asked of it.
         double seen = 1 - Math.exp((bornAt - now - settings.tick()) / ASKED_MEMORY);
@@ -496,7 +509,7 @@
             for (Node node : nodes.values()) {
                 Lane lane = lanes.get(node.shard);
                 double free = node.tokens(now) - (lane == null ? 0 : lane.held.size());
-                if (node.usable && node.brokenSince == 0 && free > best) {
+                if (maySend(node) && node.brokenSince == 0 && free > best) {
                     best = free;
                     chosen = node.shard;
                 }
@@ -606,6 +619,11 @@
             request.flow.share.level(now);
             request.flow.share.draw(beyond);
         }
+        if (event.outcome() == Outcome.OK) {
+            node.provenAt = Math.max(node.provenAt, attempt.sentAt);
+        } else if (event.outcome() == Outcome.FULL) {
+            node.provenAt = ListFreshness.unproven(); // it may be draining
+        }
         judgeNode(node, attempt, event);
         if (event.done() || request.over) {
             close(request);
@@ -709,7 +727,8 @@
         attempt.sentAt = now;
         request.attempts.add(attempt);
         node.out.add(attempt);
-        out.add(new Send(request.id, node.address, 0, windowed ? repeatsEnd(request) - now : 0));
+        long beginBefore = Math.min(freshness.sendBefore(node.provenAt), windowed ? repeatsEnd(request) : Long.MAX_VALUE);
+        out.add(new Send(request.id, node.address, 0, beginBefore == Long.MAX_VALUE ? 0 : beginBefore - now));
     }
 
     // ---------------------------------------------------------------- nodes: cold, suspect, deep
@@ -826,11 +845,21 @@
         }
     }
 
+    /** Whether a node wants requests, as far as can be known now. */
+    private boolean maySend(Node node) {
+        return node.usable && now < freshness.sendBefore(node.provenAt);
+    }
+
+    /** Whether a lane has nodes, but none of which it is known that it is not draining. */
+    private boolean stale(Lane lane) {
+        return nodes.values().stream().anyMatch(node -> node.usable && node.shard == lane.shard) && pick(lane) == null;
+    }
+
     /** The node that serves a lane: usable, not broken off if there is a choice, with most free tokens. */
     private Node pick(Lane lane) {
         Node best = null;
         for (Node node : nodes.values()) {
-            if (node.usable && node.shard == lane.shard && (best == null
+            if (maySend(node) && node.shard == lane.shard && (best == null
                     || best.brokenSince > 0 && node.brokenSince == 0
                     || best.brokenSince > 0 == node.brokenSince > 0 && node.tokens(now) > best.tokens(now))) {
                 best = node;
@@ -841,10 +870,11 @@
 
     // ---------------------------------------------------------------- what to refuse
 
-    /** Refuses what is held past its aim: late work would take the place of work in time. */
+    /** Refuses what is held past its aim, as late work would take the place of work in time, and what no node may be sent. */
     private void shed(Lane lane) {
+        boolean stale = !lane.held.isEmpty() && stale(lane);
         for (Request request : List.copyOf(lane.held)) {
-            if (now >= request.due) {
+            if (now >= request.due || stale) {
                 giveUp(request);
             }
         }
--- a/policy/src/main/java/garnetreel/policy/Scheduler.java
+++ b/policy/src/main/java/garnetreel/policy/Scheduler.java
@@ -32,8 +32,11 @@
     /** The nodes that drop each other's repeats of a keyed request. */
     enum Group { ALL, ZONE, CELL }
 
-    /** What a node list is: what changed, everything, what was last held before a restart, or a failed call. */
-    enum ListKind { CHANGES, ALL, REMEMBERED, REFUSED }
+    /**
+     * What a node list is: what changed, everything, what was last held before a restart, a failed call, or one that discovery
+     * turned away at once because too many calls wait there.
+     */
+    enum ListKind { CHANGES, ALL, REMEMBERED, REFUSED, OVERLOADED }
 
     /** State of a listed node. */
     enum NodeState { UP, DRAINING, GONE }
@@ -53,6 +56,15 @@
     /** News about nodes. Changes apply on top of what is held; a node missing from a complete list has left. */
     record NodeNews(ListKind kind, List<NodeEntry> entries) implements Event { }
 
+    /**
+     * The node list held was current at a time, as a word on a subscription or an answer shows. A program that sends these
+     * is told to send nowhere where a change may have been missed; one that sends none has its list trusted always.
+     */
+    record ListConfirmed(long asOf) implements Event { }
+
+    /** The node list comes from elsewhere from now on. */
+    record DiscoveryMoved() implements Event { }
+
     /**
      * A request taken by this host, which owes it exactly one final answer before {@code validUntil}.
      *
