What was read is answered at every bound; configurations are read one after the other

At the bound of clients accepted() closed the oldest silent connection though its request lay further back in the same batch, or in its socket; past the bound of unread bytes the client that sent next lost the whole requests it had sent before (read from ClientFront.received, then shown by aWaitingRequestIsAnsweredThoughOthersUseUpTheBound); two SIGHUPs ran PlatformMain.reread on two threads, so the older file could be told last; a half-written file was never read again. Change: room is made at the end of a turn, never of a connection that is new (20 ms; the listener's own bound keeps their number) or owed an answer. Past the bytes bound only the number of requests is kept, and each is refused in its turn. Signal handlers are the first act of the process.

--- a/cli/src/main/java/garnetreel/cli/PlatformMain.java
+++ b/cli/src/main/java/garnetreel/cli/PlatformMain.java
@@ -4,9 +4,7 @@
 import garnetreel.core.platform.PlatformSettings;
 import garnetreel.net.Driver;
 import garnetreel.policy.Control;
-import garnetreel.settings.JsonException;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
@@ -63,15 +61,17 @@
      * @throws IOException when the configuration can't be read or the address not be bound
      */
     int run() throws IOException {
-        Process process = new Process();
-        // Before it listens: from then on it may be told, and the JVM dies of a signal that has no handler.
+        // The first act: a signal that comes before its handler ends the JVM.
         CompletableFuture<Driver> started = new CompletableFuture<>();
-        obey("HUP", () -> started.thenAccept(this::reread));
+        ConfigurationReader reader = reader(started);
+        obey("HUP", reader::read);
         obey("TERM", () -> started.thenAccept(head -> head.tell(new PlatformHead.Drain())));
+        Process process = new Process();
         Driver driver = start(process);
         started.complete(driver);
         int code = Process.untilStopped(driver);
         process.close();
+        reader.close();
         log.info("ends with {}", code);
         return code;
     }
@@ -82,25 +82,22 @@
         }
     }
 
+    /** What reads the configuration anew, and tells the head once that has started. */
+    ConfigurationReader reader(CompletableFuture<Driver> started) {
+        return new ConfigurationReader(file, settings
+                -> started.thenAccept(head -> head.tell(new PlatformHead.Reconfigure(settings))));
+    }
+
     /** Starts the head; gives it once it listens. */
     Driver start(Process process) throws IOException {
         PlatformSettings settings;
         try {
-            settings = PlatformSettings.read(Files.readAllBytes(file));
-        } catch (JsonException e) {
+            settings = ConfigurationReader.load(file);
+        } catch (IOException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
         }
         Driver driver = process.run("head", new PlatformHead(settings, new Control(settings.scheduling(), settings.seed())));
         log.info("{} listens on {}", settings.name(), Process.bound(driver, PlatformHead.HTTP));
         return driver;
     }
-
-    /** A file that can't be read, or is no configuration, changes nothing. */
-    void reread(Driver driver) {
-        try {
-            driver.tell(new PlatformHead.Reconfigure(PlatformSettings.read(Files.readAllBytes(file))));
-        } catch (IOException | JsonException e) {
-            log.warn("{} stays unread and the configuration as it was: {}", file, e.getMessage());
-        }
-    }
 }
--- a/cli/src/main/java/garnetreel/cli/Rehearsal.java
+++ b/cli/src/main/java/garnetreel/cli/Rehearsal.java
@@ -14,6 +14,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * One head's life in small, on loopback: a list, a shelf, some requests, some of them bad, and an end. The build runs it to
@@ -59,8 +60,15 @@
         Process process = new Process();
         PlatformMain head = new PlatformMain(file);
         Driver driver = head.start(process);
-        Signals.on("HUP", () -> head.reread(driver));
-        head.reread(driver);
+        CompletableFuture<Void> reread = new CompletableFuture<>();
+        ConfigurationReader reader = new ConfigurationReader(file, settings -> {
+            driver.tell(new PlatformHead.Reconfigure(settings));
+            reread.complete(null);
+        });
+        Signals.on("HUP", reader::read);
+        reader.read();
+        reread.join();
+        reader.close();
         Files.delete(file);
         String address = Process.bound(driver, PlatformHead.HTTP);
         int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
--- a/cli/src/test/java/garnetreel/cli/SignalsTest.java
+++ b/cli/src/test/java/garnetreel/cli/SignalsTest.java
@@ -172,6 +172,22 @@
         }
     }
 
+    /** A file that is being written when the signal comes is read once it is whole. */
+    @Test
+    void aFileThatIsHalfWrittenIsReadAgain() throws Exception {
+        String config = HeadOnSockets.text(discovery.address(), shelf.address());
+        run(config);
+        untilSaid(LISTENS);
+        try (ScriptedPeer moved = ScriptedPeer.listening()) {
+            String next = HeadOnSockets.text(moved.address(), shelf.address());
+            Files.writeString(file(), next.substring(0, next.length() / 2));
+            signal("HUP");
+            untilSaid(Pattern.compile("stays unread and the configuration as it was"));
+            Files.writeString(file(), next);
+            untilSaid(Pattern.compile("discovery moves from \\S+ to " + Pattern.quote(moved.address())));
+        }
+    }
+
     /** Started under nohup it can't be told of a new configuration; it says so instead of ignoring it in silence. */
     @Test
     void aSignalThatCannotBeHandledIsSaid() throws Exception {
--- a/codec/src/main/java/garnetreel/codec/http/HeadReader.java
+++ b/codec/src/main/java/garnetreel/codec/http/HeadReader.java
@@ -7,7 +7,7 @@
 
 /**
  * Reads the start line and the header section up to the empty line. Strict: lines end with CRLF, and there is no control
- * character, no folded line and no empty start line, so that two readers of one head can't read two things into it.
+ * character and no folded line, so that two readers of one head can't read two things into it.
  */
 final class HeadReader {
     private static final int FIRST_ROOM = 512;
@@ -62,13 +62,17 @@
 
     private boolean lineEnded(int end) throws ProtocolException {
         if (end == lineStart) {
-            if (startLine == null) {
-                throw new ProtocolException("empty start line");
+            if (startLine != null) {
+                return true;
+            }
+            if (lineStart > 0) {
+                throw new ProtocolException("more than one empty line ahead of a start line");
             }
-            return true;
+            lineStart = end + 2; // one is skipped (RFC 9112, 2.2)
+            return false;
         }
         if (startLine == null) {
-            startLine = new String(bytes, 0, end, StandardCharsets.ISO_8859_1);
+            startLine = new String(bytes, lineStart, end - lineStart, StandardCharsets.ISO_8859_1);
         } else if (fields.size() == mostFields) {
             throw new ProtocolException("more than " + mostFields + " header fields");
         } else {
@@ -78,9 +82,9 @@
         return false;
     }
 
-    /** Whether a byte of a head has come. */
+    /** Whether a byte of a head has come; empty lines ahead of it are none. */
     boolean begun() {
-        return length > 0;
+        return startLine != null || length > lineStart;
     }
 
     String startLine() {
--- a/core/src/main/java/garnetreel/core/platform/ClientFront.java
+++ b/core/src/main/java/garnetreel/core/platform/ClientFront.java
@@ -16,9 +16,9 @@
 import java.util.Map;
 
 /**
- * Connections from clients. Each has one request open at most; bytes of the next ones wait, up to a bound past which they
- * are dropped and the open request's answer is the connection's last. A connection is always read: one that is not read
- * hides its client's close. What can't be read is answered with an error and closed.
+ * Connections from clients. Each has one request open at most; bytes of the next ones wait, up to a bound past which the
+ * requests among them are only counted, and refused in turn: a request that has been read is owed an answer. A connection is
+ * always read: one that is not read hides its client's close. What can't be read is answered with an error and closed.
  */
 final class ClientFront {
     /** A connection that has sent no whole request by then is closed; the platform wants it within 3 s. */
@@ -29,6 +29,11 @@
     private static final long IDLE_MOST = 60_000_000;
     /** A client that has not read its answer by then has gone. */
     private static final long UNREAD_MOST = 5_000_000;
+    /**
+     * A new connection stays for so long past the bound. Guards against closing one whose request lies in its socket: what is
+     * accepted in one turn is read in the next. Meanwhile the listener's own bound keeps their number.
+     */
+    private static final long NEW_FOR = 20_000;
     /** Bytes of requests to come that wait while one is open: a pipeline of hundreds, or a few of the largest. */
     private static final int UNREAD_MOST_BYTES = 256 << 10;
     /** Once the head ends, a new connection's first byte and the rest of half a request are waited for so long. */
@@ -42,6 +47,9 @@
         /** @param came when its last byte came; it may have waited for the one before it since */
         void request(long conn, HttpRequest request, long came);
 
+        /** A request is past the bound on what may wait; it is to be refused. */
+        void pastBound(long conn);
+
         /** The client of an open request has left. */
         void left(long conn);
     }
@@ -63,6 +71,10 @@
         int unreadBytes;
         int toDrain;
         boolean last;
+        /** Past the bound of bytes: requests that were read since, of which only their number is kept, and whether more can be. */
+        boolean counting;
+        int toRefuse;
+        String unreadable;
 
         Client(long conn) {
             this.conn = conn;
@@ -130,26 +142,46 @@
 
     // ---------------------------------------------------------------- connections
 
-    /** Takes a new connection. At the bound one that says nothing makes room, else an idle one, else it is closed itself. */
+    /** Takes a new connection; whether there is room for all is judged once all that came with it has been read. */
     void accepted(long conn) {
-        if (clients.size() >= bounds.clients()) {
-            turnedAway++;
-            if (!closeFirst(State.SILENT) && !closeFirst(State.IDLE) && !closeFirst(State.BEGUN)) {
-                actions.add(new NetAction.Close(conn, true));
-                return;
-            }
-        }
         Client client = new Client(conn);
         clients.put(conn, client);
         move(client, State.SILENT);
     }
 
+    /**
+     * Keeps the bound on connections, after everything of a turn has been read: only those go that are owed no answer. First
+     * one that has said nothing, then an idle one, then one with half a request.
+     */
+    private void makeRoom() {
+        while (clients.size() > bounds.clients()) {
+            Client first = evictable();
+            if (first == null) {
+                return; // each of them is owed an answer or is new
+            }
+            turnedAway++;
+            close(first, false);
+        }
+    }
+
+    private Client evictable() {
+        Client silent = first(State.SILENT);
+        if (silent != null && now - silent.since >= NEW_FOR) {
+            return silent;
+        }
+        return first(State.IDLE) != null ? first(State.IDLE) : first(State.BEGUN);
+    }
+
+    private Client first(State state) {
+        return in(state).isEmpty() ? null : in(state).values().iterator().next();
+    }
+
     private boolean closeFirst(State state) {
-        if (in(state).isEmpty()) {
-            return false;
+        Client first = first(state);
+        if (first != null) {
+            close(first, false);
         }
-        close(in(state).values().iterator().next(), false);
-        return true;
+        return first != null;
     }
 
     private void close(Client client, boolean abort) {
@@ -184,17 +216,51 @@
         if (client.last) {
             return; // nothing more is answered on it
         }
+        if (client.counting) {
+            count(client, data);
+            return;
+        }
         client.unread.add(new Piece(data, came));
         client.unreadBytes += data.remaining();
         unread += data.remaining();
         pump(client);
         if (client.unreadBytes > UNREAD_MOST_BYTES || unread > bounds.bytes()) {
             turnedAway++;
-            client.last = true;
+            client.counting = true;
+            client.unread.forEach(piece -> count(client, piece.data()));
             dropUnread(client);
         }
     }
 
+    /** Reads requests that are past the bound: of each only that it has to be refused is kept. */
+    private static void count(Client client, ByteBuffer data) {
+        try {
+            while (data.hasRemaining() && client.unreadable == null) {
+                HttpRequest request = client.parser.next(data);
+                client.toRefuse += request == null ? 0 : 1;
+            }
+        } catch (ProtocolException e) {
+            client.unreadable = e.getMessage();
+        }
+    }
+
+    /** Answers the next request that was only counted; false if there is none. */
+    private boolean refuseCounted(Client client) {
+        if (client.toRefuse > 0) {
+            client.toRefuse--;
+            move(client, State.BUSY);
+            listener.pastBound(client.conn);
+            return true;
+        }
+        client.counting = false;
+        if (client.unreadable != null) {
+            client.last = true;
+            write(client, HttpWriter.response(BAD_REQUEST), client.unreadable.getBytes(StandardCharsets.UTF_8));
+            return true;
+        }
+        return false;
+    }
+
     void drained(long conn, int drained) {
         Client client = clients.get(conn);
         client.toDrain -= drained;
@@ -203,7 +269,13 @@
             forget(client);
         } else if (client.toDrain <= 0 && client.state == State.WRITING) {
             move(client, State.IDLE);
+            if (client.counting && refuseCounted(client)) {
+                return;
+            }
             pump(client);
+            if (client.parser.begun() && client.state == State.IDLE) {
+                move(client, State.BEGUN);
+            }
             if ((draining || client.last) && client.state == State.IDLE) {
                 close(client, false);
             }
@@ -227,7 +299,7 @@
                     move(client, State.BUSY);
                     client.last = request.fields().holds("Connection", "close");
                     listener.request(client.conn, request, piece.came());
-                } else if (client.state == State.IDLE || draining && client.state == State.SILENT) {
+                } else if (client.parser.begun() && (client.state == State.IDLE || draining && client.state == State.SILENT)) {
                     move(client, State.BEGUN);
                 }
             }
@@ -249,7 +321,7 @@
 
     private void write(Client client, HttpWriter head, byte[] body) {
         // At the end an answer is the last unless more requests have come: their client would wait for them.
-        boolean last = client.last || draining && client.unread.isEmpty();
+        boolean last = client.last || draining && client.unread.isEmpty() && !client.counting;
         if (last) {
             head.field("Connection", "close");
             client.last = true;
@@ -304,7 +376,8 @@
     }
 
     long wakeAt() {
-        long next = Long.MAX_VALUE;
+        Client silent = first(State.SILENT);
+        long next = clients.size() > bounds.clients() && silent != null ? silent.since + NEW_FOR : Long.MAX_VALUE;
         for (State state : STATES) {
             if (!in(state).isEmpty()) {
                 next = Math.min(next, in(state).values().iterator().next().since + most(state));
@@ -314,6 +387,7 @@
     }
 
     void expire() {
+        makeRoom();
         for (State state : STATES) {
             while (!in(state).isEmpty()) {
                 Client oldest = in(state).values().iterator().next();
--- a/core/src/main/java/garnetreel/core/platform/PlatformHead.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformHead.java
@@ -65,6 +65,11 @@
                 requested(conn, request, came);
             }
 
+            @Override
+            public void pastBound(long conn) {
+                table.turnAway(conn);
+            }
+
             @Override
             public void left(long conn) {
                 table.left(conn);
