--- a/cli/src/test/java/garnetreel/cli/HeadOnSockets.java
+++ b/cli/src/test/java/garnetreel/cli/HeadOnSockets.java
@@ -172,6 +172,12 @@
         driver.tell(new Nudge());
     }
 
+    /** Passes the time over which heads that start at once spread their first call for the list. */
+    HeadOnSockets thatAsks() {
+        pass(3_000_000);
+        return this;
+    }
+
     /** Holds the head's only thread in the turn in which this event comes, until {@link #goOn}. */
     void haltAt(Predicate<Event> event) {
         halt = event;
--- a/cli/src/test/java/garnetreel/cli/StaleListTest.java
+++ b/cli/src/test/java/garnetreel/cli/StaleListTest.java
@@ -44,6 +44,7 @@
 
     /** Lets a watch deliver one list and then fall silent, and the next call wait for its answer in vain. */
     private Line loseTheList(HeadOnSockets head, Runnable whileSilent) throws Exception {
+        head.thatAsks();
         try (Line watch = discovery.accept()) {
             watch.read();
             watch.send(HeadOnSockets.watch(HeadOnSockets.list(2, true, HeadOnSockets.entry(server.address(), "up"))));
@@ -89,6 +90,37 @@
         }
     }
 
+    /** Discovery goes down, which ends watches: nothing can be told before it is back, so all goes on, however long that takes. */
+    @Test
+    void anOutageOfDiscoveryStopsNothing() throws Exception {
+        try (HeadOnSockets head = new HeadOnSockets(discovery, server).thatAsks()) {
+            Line watch = discovery.accept();
+            watch.read();
+            watch.send(HeadOnSockets.watch(HeadOnSockets.list(2, true, HeadOnSockets.entry(server.address(), "up"))));
+            awaitList(head, ListKind.ALL);
+            watch.reset();
+            awaitList(head, ListKind.REFUSED);
+            for (int i = 0; i < 4; i++) {
+                head.pass(3_900_000);
+                Line call = discovery.accept();
+                call.read();
+                head.pass(2 * SECOND);
+                call.send("HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n");
+                awaitList(head, ListKind.REFUSED);
+            }
+            serve(head, 1);
+            head.pass(3_900_000);
+            Line call = discovery.accept();
+            call.read();
+            call.send("HTTP/1.1 503 Crowded\r\nContent-Length: 0\r\n\r\n");
+            awaitList(head, ListKind.REFUSED);
+            try (Line client = ScriptedPeer.connect(head.address).send(HeadOnSockets.request(2, 50))) {
+                assertInstanceOf(Refuse.class, head.await(one -> one instanceof Send || one instanceof Refuse), "it is up, and crowded");
+                assertTrue(client.read().startsWith("HTTP/1.1 503 "));
+            }
+        }
+    }
+
     private void serve(HeadOnSockets head, int number) {
         try (Line client = ScriptedPeer.connect(head.address).send(HeadOnSockets.request(number, 50))) {
             assertInstanceOf(Send.class, head.await(one -> one instanceof Send || one instanceof Refuse));
--- a/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
+++ b/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
@@ -8,6 +8,7 @@
 import garnetreel.core.io.NetAction.Level;
 import garnetreel.core.link.ConnectionNumbers;
 import garnetreel.policy.Scheduler.DiscoveryMoved;
+import garnetreel.policy.Scheduler.DiscoverySeen;
 import garnetreel.policy.Scheduler.Event;
 import garnetreel.policy.Scheduler.ListConfirmed;
 import garnetreel.policy.Scheduler.ListKind;
@@ -41,7 +42,7 @@
     /** A watch says something every 2 s; one that says nothing for so long, and up to a random part more, is broken. */
     private static final long SILENCE = 2_700_000;
     private static final long SILENCE_SPREAD = 400_000;
-    /** A call that is turned away sooner than this did not wait for its turn: too many wait already. */
+    /** A call that is turned away sooner than this did not wait for its turn: discovery runs, and too many wait. */
     private static final long TURNED_AWAY_WITHIN = 500_000;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -168,6 +169,9 @@
         Call call = call(conn);
         HttpResponse answer = inOrder ? call.parser.ended() : null;
         if (answer == null) {
+            if (call.told) {
+                events.accept(new DiscoverySeen(false));
+            }
             failed(call, "its connection ended" + (call.told ? "" : " before an answer"));
             return;
         }
@@ -185,17 +189,13 @@
     }
 
     private void failed(Call call, String why) {
-        failed(call, why, ListKind.REFUSED);
-    }
-
-    private void failed(Call call, String why, ListKind kind) {
         actions.add(new NetAction.Note(Level.INFO, "discovery: " + why));
         if (call == watch) {
             watch = null;
         } else {
             question = null;
         }
-        events.accept(new NodeNews(kind, List.of()));
+        events.accept(new NodeNews(ListKind.REFUSED, List.of()));
     }
 
     void received(long conn, ByteBuffer data) {
@@ -227,8 +227,11 @@
         }
         end(call);
         if (answer.status() == UNAVAILABLE && now - call.connectedAt < TURNED_AWAY_WITHIN) {
-            failed(call, "turned away at once, too many calls", ListKind.OVERLOADED);
-        } else if (call.watch || answer.status() != OK) {
+            events.accept(new DiscoverySeen(true));
+        } else if (call.watch && answer.status() == OK) {
+            events.accept(new DiscoverySeen(false));
+        }
+        if (call.watch || answer.status() != OK) {
             failed(call, answer.status() == OK ? "the watch ended" : "answered " + answer.status());
         } else {
             question = null;
@@ -278,6 +281,9 @@
         for (Call call : new Call[] {watch, question}) {
             if (dueAt(call) <= now) {
                 end(call);
+                if (call.open && !call.told) {
+                    events.accept(new DiscoverySeen(true));
+                }
                 failed(call, "silent");
             }
         }
--- a/core/src/test/java/garnetreel/core/platform/CrossingsTest.java
+++ b/core/src/test/java/garnetreel/core/platform/CrossingsTest.java
@@ -50,6 +50,7 @@
             this.endingFirst = endingFirst;
             PlatformSettings settings = PlatformSettings.read(String.format(Rig.CONFIG, 512, "").getBytes(StandardCharsets.UTF_8));
             rig = new Rig(512, new Control(settings.scheduling(), 1));
+            rig.untilItAsks();
             watch = rig.lastOpened;
             rig.tell(new NetEvent.Connected(watch)).receive(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             rig.tell(list(true, "up"));
--- a/core/src/test/java/garnetreel/core/platform/Rig.java
+++ b/core/src/test/java/garnetreel/core/platform/Rig.java
@@ -120,6 +120,14 @@
         return turn();
     }
 
+    /** Lets time pass until the head calls discovery: heads that start at once spread their first calls. */
+    Rig untilItAsks() {
+        for (int i = 0; dialled.isEmpty() && i < 1_000; i++) {
+            pass(10_000);
+        }
+        return this;
+    }
+
     static String request(String id, String extra) {
         return "PUT /write/a?b=c HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: " + id + "\r\nTier: gold\r\n"
                 + "Piece: 7f3a9c21e0b4d655\r\nX-Time-Left: 0.480\r\nIO-Info: " + FACTS + "\r\n" + extra
--- a/policy/src/main/java/garnetreel/policy/Control.java
+++ b/policy/src/main/java/garnetreel/policy/Control.java
@@ -56,14 +56,17 @@
     private static final double ASKED_MEMORY = 6e6;
     private static final long SERVED_MEMORY = 60_000_000;
     private static final long SERVED_LEAST = 4_000_000;
-    /** Mean back-off between asks for the list, first and at most: in all 6 s are allowed. */
+    /**
+     * Mean back-off between asks for the list, first and at most. In all 6 s are allowed, of which 2 s may be spent in discovery's
+     * queue; the rest spreads the calls of a fleet that lost its lists at once.
+     */
     private static final long ASK_FIRST = 500_000;
-    private static final long ASK_MOST = 1_300_000;
+    private static final long ASK_MOST = 2_600_000;
     /**
-     * Mean back-off after discovery turned a call away at once. Guards against an overload that lasts: calls that waited too
-     * long are still handled, so as long as more come than are handled nobody's turn comes in time.
+     * A host that has a list at its start asks for a newer one within this time. Guards against a fleet that restarts and asks at
+     * once: discovery handles calls in turn, and nobody's turn comes once calls wait for too long.
      */
-    private static final long ASK_OVERLOADED = 3_000_000;
+    private static final long ASK_SPREAD = 3_000_000;
     /** An ask of which nothing is heard, not even that it failed, is repeated after this long. */
     private static final long ASK_UNHEARD = 4_000_000;
     /** Look again after this long while something is held, and while something is out. */
@@ -306,6 +309,8 @@
                 news(news);
             } else if (event instanceof ListConfirmed confirmed) {
                 freshness.confirmed(confirmed.asOf());
+            } else if (event instanceof DiscoverySeen seen) {
+                freshness.discoverySeen(seen.up());
             } else if (event instanceof DiscoveryMoved) {
                 freshness.moved(now);
             } else if (event instanceof Abandoned gone) {
@@ -362,15 +367,16 @@
     }
 
     private void news(NodeNews news) {
-        if (news.kind() == ListKind.REFUSED || news.kind() == ListKind.OVERLOADED) {
+        if (news.kind() == ListKind.REFUSED) {
             watching = false;
-            long pause = news.kind() == ListKind.OVERLOADED ? ASK_OVERLOADED : askPause;
-            askAt = now + (long) (pause * (0.5 + random.nextDouble()));
+            askAt = now + (long) (askPause * (0.5 + random.nextDouble()));
             askPause = Math.min(ASK_MOST, 2 * askPause);
             remark("node list: call refused or subscription broken, asking again");
             return;
         }
-        if (news.kind() != ListKind.REMEMBERED) {
+        if (news.kind() == ListKind.REMEMBERED) {
+            askAt = news.entries().isEmpty() ? now : now + random.nextLong(ASK_SPREAD);
+        } else {
             watching = true;
             askPause = ASK_FIRST;
         }
--- a/policy/src/main/java/garnetreel/policy/Scheduler.java
+++ b/policy/src/main/java/garnetreel/policy/Scheduler.java
@@ -32,11 +32,8 @@
     /** The nodes that drop each other's repeats of a keyed request. */
     enum Group { ALL, ZONE, CELL }
 
-    /**
-     * What a node list is: what changed, everything, what was last held before a restart, a failed call, or one that discovery
-     * turned away at once because too many calls wait there.
-     */
-    enum ListKind { CHANGES, ALL, REMEMBERED, REFUSED, OVERLOADED }
+    /** What a node list is: what changed, everything, what was last held before a restart, or a failed call. */
+    enum ListKind { CHANGES, ALL, REMEMBERED, REFUSED }
 
     /** State of a listed node. */
     enum NodeState { UP, DRAINING, GONE }
@@ -62,6 +59,12 @@
      */
     record ListConfirmed(long asOf) implements Event { }
 
+    /**
+     * Whether discovery seems to run, where no list came: it ended a subscription, as it does when it goes down; or it turned a
+     * call away at once or left it without an answer, as only one that runs does.
+     */
+    record DiscoverySeen(boolean up) implements Event { }
+
     /** The node list comes from elsewhere from now on. */
     record DiscoveryMoved() implements Event { }
 
--- a/policy/src/test/java/garnetreel/policy/RulesTest.java
+++ b/policy/src/test/java/garnetreel/policy/RulesTest.java
@@ -218,8 +218,8 @@
     @Test
     void aRefusedSubscriptionIsAskedForAgain() {
         Bench bench = new Bench(Bench.settings());
-        bench.list(ListKind.REMEMBERED, Bench.entry("n0", 0, NodeState.UP, 0));
-        assertEquals(1, bench.actions.stream().filter(a -> a instanceof Watch).count());
+        bench.list(ListKind.REMEMBERED);
+        assertEquals(1, bench.actions.stream().filter(a -> a instanceof Watch).count(), "without a list it asks at once");
         bench.list(ListKind.REFUSED);
         bench.pass(10 * MS);
         assertEquals(1, bench.actions.stream().filter(a -> a instanceof Watch).count());
@@ -227,6 +227,21 @@
         assertEquals(2, bench.actions.stream().filter(a -> a instanceof Watch).count());
     }
 
+    /** A fleet that starts at once with lists must not ask at once; each host asks within 3 s, and once. */
+    @Test
+    void hostsThatStartWithAListSpreadTheirFirstAsk() {
+        int early = 0;
+        for (int i = 0; i < 60; i++) {
+            Bench bench = new Bench(Bench.settings(), i);
+            bench.list(ListKind.REMEMBERED, Bench.entry("n0", 0, NodeState.UP, 0));
+            bench.pass(1 * SEC);
+            early += (int) bench.actions.stream().filter(a -> a instanceof Watch).count();
+            bench.pass(2 * SEC + 10 * MS);
+            assertEquals(1, bench.actions.stream().filter(a -> a instanceof Watch).count());
+        }
+        assertTrue(early > 10 && early < 30, early + " of 60 in the first of three seconds");
+    }
+
     @Test
     void aNextTryPastItsAimIsRefusedAtOnce() {
         Bench bench = Bench.with(1);
