A randomized fault soak of real processes, and its first find: failed accepts, committed failing

A ledger holds what clients were told against what servers were sent and ran; times at servers are taken where the head's bytes leave it, ahead of the proxy.

--- a/cli/src/main/java/garnetreel/cli/PlatformMain.java
+++ b/cli/src/main/java/garnetreel/cli/PlatformMain.java
@@ -1,5 +1,6 @@
 package garnetreel.cli;
 
+import garnetreel.core.io.Machine;
 import garnetreel.core.platform.PlatformHead;
 import garnetreel.core.platform.PlatformSettings;
 import garnetreel.net.Driver;
@@ -7,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -21,27 +23,45 @@
 
     private final Logger log = LoggerFactory.getLogger("garnetreel.platform");
     private final Path file;
+    private final UnaryOperator<Machine> around;
 
     PlatformMain(Path file) {
+        this(file, UnaryOperator.identity());
+    }
+
+    private PlatformMain(Path file, UnaryOperator<Machine> around) {
         this.file = file;
+        this.around = around;
     }
 
     /** Exits as the sub-command {@code platform} does. */
     public static void main(String[] arguments) {
-        String file = System.getenv(VARIABLE);
-        if (file == null || arguments.length > 0) {
+        if (arguments.length > 0) {
             System.err.println("garnetreel: takes no arguments; " + VARIABLE + " names the configuration");
             System.exit(Main.USAGE);
         }
+        System.exit(run(UnaryOperator.identity()));
+    }
+
+    /**
+     * Runs the head that the environment describes.
+     *
+     * @param around may put something between the head and its sockets, as trials of wrong heads do
+     * @return the exit code
+     */
+    public static int run(UnaryOperator<Machine> around) {
+        String file = System.getenv(VARIABLE);
+        if (file == null) {
+            System.err.println("garnetreel: " + VARIABLE + " has to name the configuration");
+            return Main.USAGE;
+        }
         startLean();
-        int code;
         try {
-            code = new PlatformMain(Path.of(file)).run();
+            return new PlatformMain(Path.of(file), around).run();
         } catch (IOException e) {
             System.err.println("garnetreel: " + e.getMessage());
-            code = Main.FAILED;
+            return Main.FAILED;
         }
-        System.exit(code);
     }
 
     /**
@@ -96,7 +116,8 @@
         } catch (IOException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
         }
-        Driver driver = process.run("head", new PlatformHead(settings, new Control(settings.scheduling(), settings.seed())));
+        Driver driver = process.run("head", around.apply(
+                new PlatformHead(settings, new Control(settings.scheduling(), settings.seed()))));
         log.info("{} listens on {}", settings.name(), Process.bound(driver, PlatformHead.HTTP));
         return driver;
     }
--- a/cli/src/main/java/garnetreel/cli/trial/TrialMain.java
+++ b/cli/src/main/java/garnetreel/cli/trial/TrialMain.java
@@ -1,6 +1,7 @@
 package garnetreel.cli.trial;
 
 import garnetreel.cli.Main;
+import garnetreel.cli.trial.soak.FaultSoakCommand;
 import java.util.List;
 
 /** The whole program: the service's commands, and those that try it with stand-ins. Service needs only {@link Main}. */
@@ -9,6 +10,6 @@
 
     public static void main(String[] arguments) {
         System.exit(Main.run(List.of(new DevCommand(), new DayCommand(), new BenchCommand(), new MapLabCommand(), new NodeCommand(),
-                new NodeListCommand()), arguments));
+                new NodeListCommand(), new FaultSoakCommand()), arguments));
     }
 }
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
@@ -0,0 +1,176 @@
+package garnetreel.cli.trial.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The network between heads and one server: bytes pass both ways, or late, in pieces, or not at all, and connections are reset.
+ * It knows when each byte came from a head, which is what rules on sends are judged by, whatever the network then does.
+ */
+final class FaultProxy implements AutoCloseable {
+    private static final int PIECE = 16 << 10;
+    private static final int BACKLOG = 2;
+
+    /** When bytes of one connection came from the head, by their offset. */
+    static final class Arrivals {
+        private final TreeMap<Long, Long> times = new TreeMap<>();
+        private long offset;
+
+        private synchronized void came(int bytes) {
+            times.put(offset, System.nanoTime());
+            offset += bytes;
+            if (times.size() > 4_096) {
+                times.pollFirstEntry();
+            }
+        }
+
+        /** When the byte at an offset came. */
+        synchronized long at(long byteOffset) {
+            Map.Entry<Long, Long> piece = times.floorEntry(byteOffset);
+            return piece == null ? System.nanoTime() : piece.getValue();
+        }
+    }
+
+    private final ServerSocket listener;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final Map<Integer, Arrivals> arrivals = new ConcurrentHashMap<>();
+    private final SplittableRandom random;
+    private volatile int target;
+    private volatile long cutUntil = System.nanoTime();
+    private volatile long acceptAfter = System.nanoTime();
+    private volatile double resets;
+    private volatile boolean inPieces;
+
+    /** @param target the server's port; 0 while it does not run */
+    FaultProxy(int target, SplittableRandom random) throws IOException {
+        this.target = target;
+        this.random = random;
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        Threads.start("proxy", this::accept);
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /** What came from the head on the connection that the server sees from this port. */
+    Arrivals arrivals(int port) {
+        return arrivals.computeIfAbsent(port, any -> new Arrivals());
+    }
+
+    void target(int port) {
+        target = port;
+    }
+
+    /** Nothing passes for so long; then what was open is reset. */
+    void cut(long millis) {
+        cutUntil = System.nanoTime() + millis * 1_000_000;
+    }
+
+    /** New connections come up late. */
+    void lateConnections(long millis) {
+        acceptAfter = System.nanoTime() + millis * 1_000_000;
+    }
+
+    /** Part of pieces at which a connection is reset, and whether pieces are of a few bytes. */
+    void rough(double resetPart, boolean small) {
+        resets = resetPart;
+        inPieces = small;
+    }
+
+    void resetAll() {
+        open.forEach(Sockets::reset);
+    }
+
+    private synchronized double draw() {
+        return random.nextDouble();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                pauseUntil(acceptAfter);
+                Socket head = listener.accept();
+                Threads.start("proxy-connection", () -> connect(head));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private static void pauseUntil(long nanos) {
+        Threads.pause(Math.max(0, (nanos - System.nanoTime()) / 1_000_000));
+    }
+
+    private void connect(Socket head) {
+        open.add(head);
+        try {
+            Socket server = new Socket(InetAddress.getLoopbackAddress(), target);
+            open.add(server);
+            head.setTcpNoDelay(true);
+            server.setTcpNoDelay(true);
+            Arrivals came = arrivals(server.getLocalPort());
+            Threads.start("proxy-answers", () -> pump(server, head, null));
+            pump(head, server, came);
+            arrivals.remove(server.getLocalPort());
+        } catch (IOException e) {
+            Sockets.reset(head);
+        } finally {
+            open.remove(head);
+        }
+    }
+
+    private void pump(Socket from, Socket to, Arrivals came) {
+        byte[] piece = new byte[PIECE];
+        try {
+            InputStream in = from.getInputStream();
+            OutputStream out = to.getOutputStream();
+            for (int got = in.read(piece); got >= 0; got = in.read(piece)) {
+                if (came != null) {
+                    came.came(got);
+                }
+                if (System.nanoTime() < cutUntil) {
+                    pauseUntil(cutUntil);
+                    throw new IOException("cut");
+                }
+                if (draw() < resets) {
+                    throw new IOException("reset");
+                }
+                pass(piece, got, out);
+            }
+            to.shutdownOutput();
+        } catch (IOException e) {
+            Sockets.reset(from);
+            Sockets.reset(to);
+        } finally {
+            open.remove(from);
+        }
+    }
+
+    private void pass(byte[] piece, int length, OutputStream out) throws IOException {
+        if (!inPieces) {
+            out.write(piece, 0, length);
+            return;
+        }
+        for (int at = 0; at < length; ) {
+            int some = Math.min(length - at, 1 + (int) (draw() * 40));
+            out.write(piece, at, some);
+            at += some;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        resetAll();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/PlantedHead.java
@@ -0,0 +1,77 @@
+package garnetreel.cli.trial.soak;
+
+import garnetreel.cli.PlatformMain;
+import garnetreel.core.io.Machine;
+import garnetreel.core.io.NetAction;
+import garnetreel.core.io.NetEvent;
+import garnetreel.core.platform.PlatformHead;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A head that is wrong in one thing, to show that the soak finds it. */
+public final class PlantedHead {
+    static final String VARIABLE = "GARNETREEL_PLANTED";
+
+    /** What is wrong. */
+    enum Fault { DRAIN_IGNORED, CLIENT_LEAVING_IGNORED, ANSWER_DROPPED_AT_EXIT }
+
+    private PlantedHead() { }
+
+    /** Runs as the head's own main does. */
+    public static void main(String[] arguments) {
+        Fault fault = Fault.valueOf(System.getenv(VARIABLE));
+        System.exit(PlatformMain.run(machine -> new Tampered(machine, fault)));
+    }
+
+    /** Stands between a head and its sockets. */
+    private static final class Tampered implements Machine {
+        private static final long DEAF = 1_500_000;
+
+        private record Held(NetEvent event, long until) { }
+
+        private final Machine head;
+        private final Fault fault;
+        private final List<Held> held = new ArrayList<>();
+        private boolean ending;
+
+        Tampered(Machine head, Fault fault) {
+            this.head = head;
+            this.fault = fault;
+        }
+
+        @Override
+        public void turn(long now, List<NetEvent> events, List<NetAction> actions) {
+            List<NetEvent> told = new ArrayList<>();
+            held.removeIf(one -> one.until() <= now && told.add(one.event()));
+            for (NetEvent event : events) {
+                if (fault == Fault.CLIENT_LEAVING_IGNORED && event instanceof NetEvent.Closed closed && closed.conn() > 0) {
+                    held.add(new Held(event, now + DEAF));
+                } else {
+                    told.add(fault == Fault.DRAIN_IGNORED ? withoutDrains(event) : event);
+                }
+                ending |= event instanceof NetEvent.Told order && order.order() instanceof PlatformHead.Drain;
+            }
+            List<NetAction> wanted = new ArrayList<>();
+            head.turn(now, told, wanted);
+            wanted.forEach(action -> actions.add(fault == Fault.ANSWER_DROPPED_AT_EXIT && ending && action instanceof NetAction.Write write
+                    && write.conn() > 0 ? new NetAction.Close(write.conn(), true) : action));
+        }
+
+        /** A list in which every server is up; of the same length. */
+        private static NetEvent withoutDrains(NetEvent event) {
+            if (!(event instanceof NetEvent.Received got) || got.conn() > 0) {
+                return event;
+            }
+            String text = StandardCharsets.ISO_8859_1.decode(got.data()).toString().replace("\"health\":\"draining\"",
+                    "\"health\":\"up\"      ").replace("\"health\":\"removed\"", "\"health\":\"up\"     ");
+            return new NetEvent.Received(got.conn(), ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+        }
+
+        @Override
+        public long wakeAt() {
+            return Math.min(head.wakeAt(), held.stream().mapToLong(Held::until).min().orElse(Long.MAX_VALUE));
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/SoakWorld.java
@@ -0,0 +1,94 @@
+package garnetreel.cli.trial.soak;
+
+import garnetreel.cli.trial.soak.Registry.Entry;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** All parties of one run: heads as processes; servers behind fault proxies, and discovery, in this one. */
+final class SoakWorld implements AutoCloseable {
+    static final int SHARDS = 3;
+    private static final int SERVERS_A_SHARD = 2;
+    private static final long REPEAT_WINDOW = 1_500_000_000L;
+    private static final long IDLE_MILLIS = 3_000;
+    private static final String SETTINGS = """
+            {"balancers": %d, "discovery": "subscribe", "tick": 0.002,
+             "classes": [{"name": "read", "aim": 0.4, "hard-limit": 2.5, "effect": "repeatable", "importance": 1},
+                         {"name": "write", "aim": 0.4, "hard-limit": 2.5, "effect": "once", "importance": 1},
+                         {"name": "keyed", "aim": 0.4, "hard-limit": 2.5, "effect": "by_key", "group": "cell",
+                          "repeat-window": 1.5, "importance": 1}],
+             "service-levels": [{"name": "gold", "usual-rate": 1000, "floor-rate": 500, "proportion": 1}],
+             "rules": {"answer-slack": 0.05, "free-resends": 3, "further-ratio": 0.1, "extra-window": 5, "fall": 2,
+                       "fall-multiple": 2.5, "cold-share": 0.2, "warm-within": 10, "stop-sending-within": 0.25},
+             "limits": {"dial-timeout": 1.2, "idle-close": 3, "retry-after": true, "max-retry-after": 1, "try-limit": 3},
+             "specifics": {"unit-mean": 2, "most-units": 8, "young-limit": 200, "class-writes": [false, true, true]}}""";
+
+    final RequestLedger ledger;
+    final Registry registry = new Registry();
+    final List<HeadProcess> heads = new ArrayList<>();
+    final List<StorageServer> servers = new CopyOnWriteArrayList<>();
+    private final Map<Integer, StorageServer.Repeats> repeats = new HashMap<>();
+    private final SplittableRandom random;
+    private int lastServer;
+
+    /** @param slackMillis what a verdict on times allows this machine */
+    SoakWorld(Path directory, SplittableRandom random, int headCount, long slackMillis, String mainClass, List<String> environment,
+            Optional<Path> shim) throws IOException {
+        this.random = random;
+        ledger = new RequestLedger(slackMillis * 1_000_000, REPEAT_WINDOW);
+        for (int i = 0; i < SHARDS * SERVERS_A_SHARD; i++) {
+            addServer(i % SHARDS);
+        }
+        String settings = String.format(SETTINGS, headCount);
+        for (int i = 0; i < headCount; i++) {
+            Path own = Files.createDirectories(directory.resolve("head-" + i));
+            heads.add(new HeadProcess("n" + i, own, registry, ledger, settings, mainClass, shim, environment));
+        }
+    }
+
+    /** Starts a server and lists it. */
+    synchronized StorageServer addServer(int shard) throws IOException {
+        StorageServer.Repeats shared = repeats.computeIfAbsent(shard, any -> new StorageServer.Repeats(REPEAT_WINDOW));
+        StorageServer server = new StorageServer("s-" + ++lastServer, shard, registry, ledger, shared, random.split(), IDLE_MILLIS);
+        servers.add(server);
+        registry.put(server.entry("up"));
+        return server;
+    }
+
+    static long idleMillis() {
+        return IDLE_MILLIS;
+    }
+
+    /** Takes a server out of the list, and ends it. */
+    void removeServer(StorageServer server) throws IOException {
+        servers.remove(server);
+        Entry gone = server.entry("removed");
+        registry.put(gone);
+        server.close();
+    }
+
+    void startHeads() throws IOException {
+        for (HeadProcess head : heads) {
+            head.start();
+        }
+        heads.forEach(HeadProcess::awaitReady);
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (HeadProcess head : heads) {
+            head.kill();
+        }
+        for (StorageServer server : servers) {
+            server.close();
+        }
+        registry.close();
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/garnetreel/cli/trial/soak/FailingCallsTest.java
@@ -0,0 +1,92 @@
+package garnetreel.cli.trial.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import garnetreel.cli.trial.soak.ProcessFaults.Call;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A head as a real process, some of whose system calls fail. Left out, and said so, where there is no C compiler. */
+@Timeout(120)
+class FailingCallsTest {
+    private static final String READY = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    /** What a client of the platform waits at most, with the half second in which an answer only earns nothing. */
+    private static final int CLIENT_WAITS_MILLIS = 3_000;
+
+    @TempDir
+    Path directory;
+    private SoakWorld world;
+    private HeadProcess head;
+    private ProcessFaults faults;
+
+    @BeforeEach
+    void start() throws IOException {
+        Optional<Path> library = ProcessFaults.build(directory);
+        assumeTrue(library.isPresent(), "no C compiler");
+        world = new SoakWorld(directory, new SplittableRandom(1), 1, 1_000, "garnetreel.cli.PlatformMain", List.of(), library);
+        world.startHeads();
+        head = world.heads.get(0);
+        faults = head.faults().orElseThrow();
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        if (world != null) {
+            world.close();
+        }
+    }
+
+    private Socket ask() throws IOException {
+        Socket socket = head.connect();
+        socket.setSoTimeout(CLIENT_WAITS_MILLIS);
+        socket.getOutputStream().write(READY.getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    private void untilRaised(Call call, int times) {
+        for (int i = 0; faults.raised(call) < times && i < 2_000; i++) {
+            Threads.pause(10);
+        }
+        assertTrue(faults.raised(call) >= times, call + " was made to fail " + faults.raised(call) + " times");
+    }
+
+    /** Accepting fails some times in a row; a client that waits meanwhile is answered before it gives up. */
+    @Test
+    void aClientThatWaitsWhileAcceptFailsIsAnswered() throws IOException {
+        faults.fail(Call.ACCEPT, 1);
+        try (Socket client = ask()) {
+            untilRaised(Call.ACCEPT, 4);
+            faults.fail(Call.ACCEPT, 0);
+            assertEquals(200, new HttpReader(client.getInputStream()).read().status());
+        } catch (SocketTimeoutException e) {
+            throw new AssertionError("no answer " + CLIENT_WAITS_MILLIS + " ms after accept works again", e);
+        }
+    }
+
+    /** Reads and writes of a few bytes, and waits that are interrupted, change nothing but the speed. */
+    @Test
+    void shortReadsAndWritesAndInterruptedWaitsAreHarmless() throws IOException {
+        for (Call call : List.of(Call.SHORT_READ, Call.SHORT_WRITE, Call.INTERRUPT)) {
+            faults.fail(call, 0.7);
+        }
+        for (int i = 0; i < 50; i++) {
+            try (Socket client = ask()) {
+                assertEquals(200, new HttpReader(client.getInputStream()).read().status());
+            }
+        }
+        assertTrue(faults.raised(Call.SHORT_READ) + faults.raised(Call.INTERRUPT) > 0);
+    }
+}
