--- a/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
@@ -18,7 +18,10 @@
  */
 final class FaultProxy implements AutoCloseable {
     private static final int PIECE = 16 << 10;
-    private static final int BACKLOG = 2;
+    private static final int BACKLOG = 1;
+    /** Connections that fill the listener's queue, so that further ones do not come up; the system tries those again after 1 s. */
+    private static final int FILLERS = 4;
+    private static final int FILLER_MILLIS = 20;
 
     /** When bytes of one connection came from the head, by their offset. */
     static final class Arrivals {
@@ -42,6 +45,7 @@
 
     private final ServerSocket listener;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final Set<Integer> fillers = ConcurrentHashMap.newKeySet();
     private final Map<Integer, Arrivals> arrivals = new ConcurrentHashMap<>();
     private final SplittableRandom random;
     private volatile int target;
@@ -76,9 +80,27 @@
         cutUntil = System.nanoTime() + millis * 1_000_000;
     }
 
-    /** New connections come up late. */
+    /** New connections come up late: the listener's queue is full meanwhile. */
     void lateConnections(long millis) {
         acceptAfter = System.nanoTime() + millis * 1_000_000;
+        for (int i = 0; i < FILLERS; i++) {
+            Socket filler = new Socket();
+            try {
+                filler.connect(listener.getLocalSocketAddress(), FILLER_MILLIS);
+                fillers.add(filler.getLocalPort());
+                open.add(filler);
+            } catch (IOException e) {
+                closeQuietly(filler); // the queue is full
+            }
+        }
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // it had ended
+        }
     }
 
     /** Part of pieces at which a connection is reset, and whether pieces are of a few bytes. */
@@ -100,6 +122,10 @@
             try {
                 pauseUntil(acceptAfter);
                 Socket head = listener.accept();
+                if (fillers.remove(head.getPort())) {
+                    closeQuietly(head);
+                    continue;
+                }
                 Threads.start("proxy-connection", () -> connect(head));
             } catch (IOException e) {
                 return;
--- a/cli/src/main/java/garnetreel/cli/trial/soak/Trouble.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/Trouble.java
@@ -145,8 +145,8 @@
     CONNECTIONS_LATE {
         @Override
         void play(SoakWorld world, SplittableRandom random) throws IOException {
-            world.servers.forEach(server -> server.proxy.lateConnections(200 + random.nextInt(1_500)));
             world.servers.forEach(StorageServer::resetAll);
+            world.servers.forEach(server -> server.proxy.lateConnections(200 + random.nextInt(1_500)));
         }
     },
     NETWORK_ROUGH {
--- a/cli/src/test/java/garnetreel/cli/trial/soak/FailingCallsTest.java
+++ b/cli/src/test/java/garnetreel/cli/trial/soak/FailingCallsTest.java
@@ -76,6 +76,20 @@
         }
     }
 
+    /** Accepting fails now and then for some seconds, which must not add up: each client is answered in its time. */
+    @Test
+    void clientsAreAnsweredWhileAcceptFailsNowAndThen() throws IOException {
+        faults.fail(Call.ACCEPT, 0.5);
+        for (int i = 0; i < 60; i++) {
+            try (Socket client = ask()) {
+                assertEquals(200, new HttpReader(client.getInputStream()).read().status());
+            } catch (SocketTimeoutException e) {
+                throw new AssertionError("client " + i + " has no answer after " + CLIENT_WAITS_MILLIS + " ms", e);
+            }
+        }
+        assertTrue(faults.raised(Call.ACCEPT) > 10);
+    }
+
     /** Reads and writes of a few bytes, and waits that are interrupted, change nothing but the speed. */
     @Test
     void shortReadsAndWritesAndInterruptedWaitsAreHarmless() throws IOException {
--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -59,10 +59,7 @@
      * when a listener is closed is reset, though its client may have sent a request.
      */
     private static final long UNLISTEN_MILLIS = 5;
-    /**
-     * A listener is looked at so often, whatever it says of itself. Guards against XNIO's pause after a failed accept, 0.25 s and up
-     * to 4 s and more when several fail in a row, in which clients whose connections stand and whose requests lie there are not heard.
-     */
+    /** A listener that pauses after a failed accept goes on after at most so long. */
     private static final long ACCEPT_AGAIN_MILLIS = 20;
     /** Closed connections that wait for their peer's end; past it the one that has waited longest is cut. */
     private static final int LINGERING_MOST = 24;
@@ -380,7 +377,7 @@
                             -> accept(listen.listener(), channel), bounded(listen.most()));
             listeners.put(listen.listener(), server);
             server.resumeAccepts();
-            keepAccepting(listen.listener(), server);
+            keepAccepting(listen.listener(), server, AcceptPauses.of(server));
             String text = Addresses.text(server.getLocalAddress(InetSocketAddress.class));
             inbox.add(new NetEvent.Listening(listen.listener(), text));
             address.complete(text);
@@ -391,12 +388,11 @@
         }
     }
 
-    @SuppressWarnings("deprecation") // there is no other way to have a listener looked at while XNIO pauses it
-    private void keepAccepting(String listener, AcceptingChannel<StreamConnection> server) {
+    private void keepAccepting(String listener, AcceptingChannel<StreamConnection> server, AcceptPauses pauses) {
         io.executeAfter(() -> {
             if (!dead && listeners.get(listener) == server) {
-                server.wakeupAccepts();
-                keepAccepting(listener, server);
+                pauses.end();
+                keepAccepting(listener, server, pauses);
             }
         }, ACCEPT_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
     }
