Work at an event no longer grows with the fleet: nodes by shard, lanes that wait, nodes at work

Change: indexes in the same order as the maps (byShard, atWork, waiting), so decisions are the same; idle connections by age; a change of the list touches its entries.

--- a/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
+++ b/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
@@ -104,6 +104,8 @@
     private final Map<String, Shelf> shelves = new HashMap<>();
     private final Map<Long, Link> links = new LinkedHashMap<>();
     private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
+    /** All that are idle, the one idle for longest first. */
+    private final Map<Long, Link> idleByAge = new LinkedHashMap<>();
     private final Map<Long, Link> comingUp = new LinkedHashMap<>();
     private final Map<Attempt, Link> out = new HashMap<>();
     private final TreeSet<Attempt> timeouts = new TreeSet<>(Comparator.<Attempt>comparingLong(a -> a.until)
@@ -153,21 +155,22 @@
 
     /** Follows the list: whatever left it, moved or started anew has its idle connections closed, and is forgotten if gone. */
     void follow(ListUpdate update) {
-        Map<String, Shelf> before = new HashMap<>(shelves);
-        if (update.whole()) {
-            shelves.clear();
-        }
+        Map<String, Shelf> told = new LinkedHashMap<>();
+        Set<String> changed = new HashSet<>();
         for (ListUpdate.Entry entry : update.entries()) {
+            String node = entry.node().address();
             if (entry.node().state() == NodeState.GONE) {
-                shelves.remove(entry.node().address());
+                told.put(node, null);
             } else {
-                shelves.put(entry.node().address(), new Shelf(entry.dial(), entry.node().startedAt(),
-                        entry.node().state() == NodeState.UP));
+                told.put(node, new Shelf(entry.dial(), entry.node().startedAt(), entry.node().state() == NodeState.UP));
             }
         }
-        Set<String> changed = new HashSet<>();
-        before.forEach((node, shelf) -> {
-            if (!shelf.equals(shelves.get(node))) {
+        if (update.whole()) {
+            shelves.keySet().forEach(node -> told.putIfAbsent(node, null));
+        }
+        told.forEach((node, shelf) -> {
+            Shelf before = shelf == null ? shelves.remove(node) : shelves.put(node, shelf);
+            if (before != null && !before.equals(shelf)) {
                 changed.add(node);
                 closeIdle(node);
             }
@@ -243,16 +246,15 @@
     }
 
     private boolean dropLongestIdle() {
-        Link longest = null;
-        for (ArrayDeque<Link> some : idle.values()) {
-            if (longest == null || some.peekFirst().since < longest.since) {
-                longest = some.peekFirst();
-            }
-        }
-        if (longest != null) {
-            drop(longest, false);
+        if (idleByAge.isEmpty()) {
+            return false;
         }
-        return longest != null;
+        drop(longestIdle(), false);
+        return true;
+    }
+
+    private Link longestIdle() {
+        return idleByAge.values().iterator().next();
     }
 
     /** Writes what a connection is for, if it stands. */
@@ -360,6 +362,7 @@
     private void rest(Link link) {
         link.since = now;
         idle.computeIfAbsent(link.node, any -> new ArrayDeque<>()).addLast(link);
+        idleByAge.put(link.conn, link);
         Shelf shelf = shelves.get(link.node);
         if (shelf == null || !shelf.up() || !shelf.dial().equals(link.dial)) {
             drop(link, false);
@@ -421,6 +424,7 @@
     }
 
     private void unidle(Link link) {
+        idleByAge.remove(link.conn);
         ArrayDeque<Link> some = idle.get(link.node);
         if (some != null && some.remove(link) && some.isEmpty()) {
             idle.remove(link.node);
@@ -441,8 +445,8 @@
         if (!checks.isEmpty()) {
             next = Math.min(next, checks.values().iterator().next().since + CHECK_WAIT);
         }
-        for (ArrayDeque<Link> some : idle.values()) {
-            next = Math.min(next, some.peekFirst().since + idleMost);
+        if (!idleByAge.isEmpty()) {
+            next = Math.min(next, longestIdle().since + idleMost);
         }
         return next;
     }
@@ -460,10 +464,8 @@
         }
         endOld(comingUp, connectTimeout, Outcome.CONNECT_FAILED);
         endOld(checks, CHECK_WAIT, Outcome.TIMEOUT);
-        for (ArrayDeque<Link> some : List.copyOf(idle.values())) {
-            while (!some.isEmpty() && now - some.peekFirst().since >= idleMost) {
-                drop(some.peekFirst(), false);
-            }
+        while (!idleByAge.isEmpty() && now - longestIdle().since >= idleMost) {
+            drop(longestIdle(), false);
         }
     }
 
--- a/policy/src/main/java/garnetreel/policy/Control.java
+++ b/policy/src/main/java/garnetreel/policy/Control.java
@@ -95,6 +95,13 @@
     private final Map<Long, Flow> flows = new LinkedHashMap<>();
     private final Map<String, Node> nodes = new TreeMap<>();
     private final Map<Integer, Lane> lanes = new TreeMap<>();
+    /**
+     * What an event may touch, so that its work does not grow with the fleet: nodes by shard, nodes at which attempts are out, lanes
+     * in which requests are held. In order, as the whole maps are.
+     */
+    private final Map<Integer, Map<String, Node>> byShard = new TreeMap<>();
+    private final Map<String, Node> atWork = new TreeMap<>();
+    private final Map<Integer, Lane> waiting = new TreeMap<>();
     private final Map<Long, KeyLine> keys = new LinkedHashMap<>();
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private final ArrayDeque<Long> extras = new ArrayDeque<>();
@@ -326,8 +333,8 @@
         started.clear();
         followList();
         expire();
-        nodes.values().forEach(this::watchSilence);
-        for (Lane lane : lanes.values()) {
+        atWork.values().forEach(this::watchSilence);
+        for (Lane lane : List.copyOf(waiting.values())) {
             shed(lane);
             dispatch(lane);
         }
@@ -386,7 +393,7 @@
         for (NodeEntry entry : news.entries()) {
             Node node = nodes.computeIfAbsent(entry.address(), Node::new);
             node.zone = entry.zone();
-            node.shard = entry.shard();
+            place(node, entry.shard());
             node.usable = entry.state() == NodeState.UP;
             if (entry.startedAt() > node.startedAt) {
                 node.startedAt = entry.startedAt();
@@ -397,6 +404,26 @@
         }
     }
 
+    /** Notes which shard a node holds. */
+    private void place(Node node, int shard) {
+        if (node.shard != shard) {
+            displace(node);
+            node.shard = shard;
+        }
+        byShard.computeIfAbsent(shard, any -> new TreeMap<>()).put(node.address, node);
+    }
+
+    private void displace(Node node) {
+        Map<String, Node> some = byShard.get(node.shard);
+        if (some != null && some.remove(node.address, node) && some.isEmpty()) {
+            byShard.remove(node.shard);
+        }
+    }
+
+    private Iterable<Node> holding(Lane lane) {
+        return byShard.getOrDefault(lane.shard, Map.of()).values();
+    }
+
     // ---------------------------------------------------------------- requests
 
     private void arrived(Arrived event) {
@@ -531,6 +558,7 @@
             at--;
         }
         held.add(at, request);
+        waiting.put(request.lane.shard, request.lane);
         request.held = true;
         request.flow.held++;
     }
@@ -539,6 +567,9 @@
         if (request.held) {
             request.held = false;
             request.lane.held.remove(request);
+            if (request.lane.held.isEmpty()) {
+                waiting.remove(request.lane.shard);
+            }
             Flow flow = request.flow;
             if (--flow.held == 0) {
                 double linger = flow.meanGap < 0 ? LINGER_FIRST : LINGER_GAPS * flow.meanGap;
@@ -612,6 +643,9 @@
         request.flow.inFlight--;
         Node node = attempt.node;
         node.out.remove(attempt);
+        if (node.out.isEmpty()) {
+            atWork.remove(node.address);
+        }
         if (event.outcome().provesNotRun()) {
             request.unproven--;
         } else if (request.line != null && event.outcome() != Outcome.OK
@@ -733,6 +767,7 @@
         attempt.sentAt = now;
         request.attempts.add(attempt);
         node.out.add(attempt);
+        atWork.put(node.address, node);
         long beginBefore = Math.min(freshness.sendBefore(node.provenAt), windowed ? repeatsEnd(request) : Long.MAX_VALUE);
         out.add(new Send(request.id, node.address, 0, beginBefore == Long.MAX_VALUE ? 0 : beginBefore - now));
     }
@@ -858,14 +893,18 @@
 
     /** Whether a lane has nodes, but none of which it is known that it is not draining. */
     private boolean stale(Lane lane) {
-        return nodes.values().stream().anyMatch(node -> node.usable && node.shard == lane.shard) && pick(lane) == null;
+        boolean any = false;
+        for (Node node : holding(lane)) {
+            any |= node.usable;
+        }
+        return any && pick(lane) == null;
     }
 
     /** The node that serves a lane: usable, not broken off if there is a choice, with most free tokens. */
     private Node pick(Lane lane) {
         Node best = null;
-        for (Node node : nodes.values()) {
-            if (maySend(node) && node.shard == lane.shard && (best == null
+        for (Node node : holding(lane)) {
+            if (maySend(node) && (best == null
                     || best.brokenSince > 0 && node.brokenSince == 0
                     || best.brokenSince > 0 == node.brokenSince > 0 && node.tokens(now) > best.tokens(now))) {
                 best = node;
@@ -976,10 +1015,16 @@
         flows.values().removeIf(f -> f.held == 0 && f.inFlight == 0 && now - f.lastArrival > quiet);
         // Where nodes are replaced all day under new names, or clients name shards that never were. What a
         // shard's nodes served is kept for the next one, which starts cold.
-        nodes.values().removeIf(n -> !n.usable && n.out.isEmpty());
+        nodes.values().removeIf(node -> {
+            boolean unused = !node.usable && node.out.isEmpty();
+            if (unused) {
+                displace(node);
+            }
+            return unused;
+        });
         long unasked = lanes.size() > FLOWS ? FORGET_SOON : FORGET;
         lanes.values().removeIf(lane -> lane.held.isEmpty() && now - lane.askedAt > unasked
-                && nodes.values().stream().noneMatch(n -> n.shard == lane.shard));
+                && !byShard.containsKey(lane.shard));
         forgetTaken();
     }
 }
