--- a/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
@@ -18,9 +18,9 @@
  */
 final class FaultProxy implements AutoCloseable {
     private static final int PIECE = 16 << 10;
-    private static final int BACKLOG = 1;
+    private static final int BACKLOG = 16;
     /** Connections that fill the listener's queue, so that further ones do not come up; the system tries those again after 1 s. */
-    private static final int FILLERS = 4;
+    private static final int FILLERS = BACKLOG + 3;
     private static final int FILLER_MILLIS = 20;
 
     /** When bytes of one connection came from the head, by their offset. */
--- a/cli/src/main/java/garnetreel/cli/trial/soak/HeadProcess.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/HeadProcess.java
@@ -25,6 +25,13 @@
 
     private static final Pattern DEFECT = Pattern.compile(" ERROR |Exception in thread|the module (sends|left)|OutOfMemory");
 
+    /** For where the class path holds no simpler provider of logging, as that of tests. */
+    private static final String LOGGING = """
+            <configuration><appender name="out" class="ch.qos.logback.core.ConsoleAppender">
+            <encoder><pattern>%r %level %logger{0} - %msg%n</pattern></encoder></appender>
+            <root level="INFO"><appender-ref ref="out"/></root></configuration>
+            """;
+
     /** What the head runs as. */
     enum State { DOWN, STARTING, READY, ENDING }
 
@@ -114,7 +121,8 @@
         command.addAll(environment);
         command.addAll(List.of("NODE_CONFIG=" + configuration(), Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xmx64m", "-Xss256k",
-                "-XX:MaxDirectMemorySize=8m", "-cp", System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                "-XX:MaxDirectMemorySize=8m",
+                "-Dlogback.configurationFile=" + Files.writeString(directory.resolve("logging.xml"), LOGGING), "-cp", System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
                 mainClass));
         process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
         java.lang.Process started = process;
--- a/cli/src/test/java/garnetreel/cli/trial/soak/FailingCallsTest.java
+++ b/cli/src/test/java/garnetreel/cli/trial/soak/FailingCallsTest.java
@@ -1,6 +1,7 @@
 package garnetreel.cli.trial.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
@@ -9,6 +10,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -90,6 +92,25 @@
         assertTrue(faults.raised(Call.ACCEPT) > 10);
     }
 
+    /** For want of a descriptor or a port no connection can be opened: that is this machine's fault, and no server is marked for it. */
+    @Test
+    void aHeadThatCannotConnectBlamesNoServer() throws IOException {
+        faults.fail(Call.SOCKET, 1);
+        faults.fail(Call.CONNECT, 1);
+        for (int shard = 0; shard < SoakWorld.SHARDS; shard++) {
+            try (Socket client = head.connect()) {
+                client.setSoTimeout(CLIENT_WAITS_MILLIS);
+                client.getOutputStream().write(("GET /read/a HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: 000000000000000" + shard
+                        + "\r\nTier: gold\r\nX-Time-Left: 2.000\r\nIO-Info: volume=0000000000000001,units=1,shard=" + shard
+                        + ",hosts=1\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                assertEquals(503, new HttpReader(client.getInputStream()).read().status(), "nothing was sent: a refusal");
+            }
+        }
+        assertTrue(faults.raised(Call.SOCKET) + faults.raised(Call.CONNECT) > 0);
+        String log = Files.readString(directory.resolve("head-0").resolve("log-0.txt"));
+        assertFalse(log.contains("broken off"), log);
+    }
+
     /** Reads and writes of a few bytes, and waits that are interrupted, change nothing but the speed. */
     @Test
     void shortReadsAndWritesAndInterruptedWaitsAreHarmless() throws IOException {
--- a/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -373,6 +373,48 @@
         assertEquals(1, rig.told(Arrived.class).size());
     }
 
+    /** When the scheduler was last told that a server started. */
+    private static long startedAt(Rig rig, String server) {
+        return rig.told(NodeNews.class).stream().flatMap(news -> news.entries().stream()).filter(e -> e.address().equals(server))
+                .reduce((first, second) -> second).orElseThrow().startedAt();
+    }
+
+    private static Rig tellStart(Rig rig, String server, long bornMicros) {
+        return rig.receive(rig.lastOpened, chunk("{\"seq\":" + rig.now + ",\"whole\":false,\"hosts\":["
+                + Rig.shelf(server, 2002, "up", bornMicros / 1_000) + "]}"));
+    }
+
+    /** The wall clock was stepped back, or this process began with one that was ahead: news of a start is no older than the last word. */
+    @Test
+    void aStartThatIsNewsIsNoOlderThanTheLastList() throws JsonException {
+        Rig rig = watching();
+        rig.now += 1_500_000;
+        rig.receive(rig.lastOpened, chunk(""));
+        long heard = rig.now;
+        rig.now += 1_000_000;
+        tellStart(rig, "s-2", rig.now - 3_600_000_000L);
+        assertTrue(startedAt(rig, "s-2") >= heard - 2_000_000, (rig.now - startedAt(rig, "s-2")) + " us old");
+        tellStart(rig, "s-1", 0);
+        assertEquals(0, startedAt(rig, "s-1"), "one that was listed before has not started");
+    }
+
+    /** A server that left the list and comes back without a new start is as old as before. */
+    @Test
+    void aServerThatComesBackIsAsOldAsBefore() throws JsonException {
+        Rig rig = watching();
+        long born = rig.now - 500_000;
+        tellStart(rig, "s-2", born);
+        long started = startedAt(rig, "s-2");
+        rig.receive(rig.lastOpened, chunk("{\"seq\":" + rig.now + ",\"whole\":false,\"hosts\":["
+                + Rig.shelf("s-2", 2002, "removed", 0) + "]}"));
+        rig.now += 2_000_000;
+        rig.receive(rig.lastOpened, chunk(""));
+        rig.now += 2_000_000;
+        rig.receive(rig.lastOpened, chunk(""));
+        tellStart(rig, "s-2", born);
+        assertEquals(started, startedAt(rig, "s-2"));
+    }
+
     /** Its client's time runs while it waits behind another; counted from its turn it would be told too long. */
     @Test
     void aPipelinedRequestIsAsOldAsItsLastByte() throws JsonException {
--- a/policy/src/test/java/garnetreel/policy/RulesTest.java
+++ b/policy/src/test/java/garnetreel/policy/RulesTest.java
@@ -7,10 +7,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import garnetreel.policy.Scheduler.Arrived;
+import garnetreel.policy.Scheduler.Effect;
+import garnetreel.policy.Scheduler.Group;
 import garnetreel.policy.Scheduler.ListKind;
 import garnetreel.policy.Scheduler.NodeState;
 import garnetreel.policy.Scheduler.Outcome;
 import garnetreel.policy.Scheduler.Refuse;
+import garnetreel.policy.Scheduler.RequestClass;
+import garnetreel.policy.Scheduler.Settings;
 import garnetreel.policy.Scheduler.Watch;
 import java.util.ArrayList;
 import java.util.List;
@@ -54,6 +58,27 @@
         assertFalse(bench.actions.stream().anyMatch(a -> a instanceof Refuse r && r.id() == failed));
     }
 
+    /** The process may be held up for 0.15 s between this decision and its writing: a repeat must begin within its window even so. */
+    @Test
+    void aKeyedRepeatLeavesRoomForAProcessThatIsHeldUp() {
+        RequestClass brief = new RequestClass("brief", 400 * MS, 0, 2 * SEC, Effect.KEYED, Group.CELL, 0.1, false, 300 * MS, 2, false,
+                true);
+        Settings s = Bench.settings();
+        Bench bench = new Bench(new Settings(0, 2, true, List.of(brief), s.plans(), s.rules(), s.youngLimit(), s.meanUnits(),
+                s.mostUnits(), s.shareWorth(), s.idleWorth(), false, 0, 3, false, true, false, false, SEC, 250 * MS, 2 * MS));
+        bench.list(ListKind.ALL, Bench.entry("n0", 0, NodeState.UP, 0));
+        bench.pass(30 * SEC);
+        long early = bench.ask("brief", 1, 1);
+        bench.pass(100 * MS);
+        bench.end(early, Outcome.RESET);
+        assertEquals(2, bench.sends(early), "100 ms of 300 have passed");
+        bench.end(early, Outcome.OK);
+        long late = bench.ask("brief", 1, 1);
+        bench.pass(200 * MS);
+        bench.end(late, Outcome.RESET);
+        assertEquals(1, bench.sends(late), "200 ms of 300 have passed: with 0.15 s more it would begin past the window");
+    }
+
     @Test
     void aSafeRequestIsTriedAgainAfterAnError() {
         Bench bench = Bench.with(1);
