Repeats leave room for a held-up process; starts on a clock that never steps; own failures blame nobody

Causes: Control.repeatsEnd left 4 ms to the window's end; ListUpdate took born_ms, a wall-clock time, for a time of the process's own clock; Driver told a failed socket or connect like a refusal, so ShelfLinks ended it as CONNECT_FAILED. Change: Margins.HELD_UP (0.15 s) is taken off a keyed window and of the list's age; StartTimes judges each start once, when it is first told, never in the future, and as news no older than the list that was current 2 s before; NetEvent.Closed says whether it failed on this machine, which ends an attempt as not run and marks no server.

--- a/core/src/main/java/garnetreel/core/io/NetEvent.java
+++ b/core/src/main/java/garnetreel/core/io/NetEvent.java
@@ -29,11 +29,18 @@
      *
      * @param opened false where it never stood, so that nothing written to it was sent
      * @param inOrder the peer ended its sending in order, so that all it wrote has come; false for a reset
+     * @param here it could not be opened for want of something on this machine, such as a descriptor, a port or a route: that says
+     *     nothing of the peer
      */
-    record Closed(long conn, boolean opened, boolean inOrder, String why) implements NetEvent {
+    record Closed(long conn, boolean opened, boolean inOrder, boolean here, String why) implements NetEvent {
         /** One that never stood, or that broke. */
         public Closed(long conn, boolean opened, String why) {
-            this(conn, opened, false, why);
+            this(conn, opened, false, false, why);
+        }
+
+        /** One that ended. */
+        public Closed(long conn, boolean opened, boolean inOrder, String why) {
+            this(conn, opened, inOrder, false, why);
         }
     }
 
--- a/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
+++ b/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
@@ -72,7 +72,10 @@
     private final Consumer<Event> events;
     private final ShelfLinks shelves;
     private final SplittableRandom random;
+    private final StartTimes startTimes = new StartTimes();
     private String address;
+    /** When the list that is held was last known to be current; negative before one was had. */
+    private long currentAt = -1;
     private long version;
     private boolean anyVersion;
     private boolean wanted;
@@ -100,8 +103,9 @@
     /** Begins with the list as it was last known; it may be old, so the first answer is asked for whole. */
     void remembered(ListUpdate known) {
         anyVersion = true;
-        shelves.follow(known);
-        events.accept(known.news(ListKind.REMEMBERED));
+        ListUpdate resolved = startTimes.resolve(known, now, currentAt);
+        shelves.follow(resolved);
+        events.accept(resolved.news(ListKind.REMEMBERED));
         events.accept(new ListConfirmed(now));
     }
 
@@ -206,9 +210,7 @@
             if (call.parser.status() == OK && call.watch) {
                 call.begun = true;
                 objects(call, call.parser.part());
-                if (call.told) {
-                    events.accept(new ListConfirmed(came));
-                }
+                confirm(call);
             } else if (answer != null) {
                 answered(call, answer);
             }
@@ -218,12 +220,18 @@
         }
     }
 
+    /** Something came on a call that has told the list: that is current as of when it came. */
+    private void confirm(Call call) {
+        if (call.told) {
+            currentAt = came;
+            events.accept(new ListConfirmed(came));
+        }
+    }
+
     private void answered(Call call, HttpResponse answer) throws JsonException, ProtocolException {
         if (answer.status() == OK) {
             objects(call, answer.body());
-            if (call.told) {
-                events.accept(new ListConfirmed(came));
-            }
+            confirm(call);
         }
         end(call);
         if (answer.status() == UNAVAILABLE && now - call.connectedAt < TURNED_AWAY_WITHIN) {
@@ -254,7 +262,7 @@
      * is believed the second time.
      */
     private void take(Json json) throws JsonException, ProtocolException {
-        ListUpdate update = ListUpdate.read(json);
+        ListUpdate update = startTimes.resolve(ListUpdate.read(json), now, currentAt);
         if (!anyVersion && update.version() < version) {
             anyVersion = true;
             throw new ProtocolException("version went back from " + version + " to " + update.version());
--- a/core/src/main/java/garnetreel/core/platform/PlatformHead.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformHead.java
@@ -140,6 +140,8 @@
         } else if (event instanceof NetEvent.Closed closed) {
             if (front.owns(closed.conn())) {
                 front.closed(closed.conn());
+            } else if (shelves.owns(closed.conn()) && closed.here()) {
+                shelves.notOpened(closed.conn());
             } else if (shelves.owns(closed.conn())) {
                 shelves.closed(closed.conn(), closed.inOrder());
             } else if (discovery.owns(closed.conn())) {
--- a/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
+++ b/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
@@ -314,6 +314,13 @@
         links.get(conn).toDrain -= bytes;
     }
 
+    /** A connection could not be opened for want of something on this machine: nothing has run, and the shelf is not to blame. */
+    void notOpened(long conn) {
+        Link link = links.get(conn);
+        forget(link);
+        end(link, Outcome.MOOT, null);
+    }
+
     /** @param inOrder the shelf has ended its sending, which ends an answer that states no length; a reset does not */
     void closed(long conn, boolean inOrder) {
         Link link = links.get(conn);
@@ -454,7 +461,7 @@
     /** Ends what has run out of time. */
     void expire() {
         for (int left = unsendable.size(); left > 0; left--) {
-            listener.ended(unsendable.poll(), Outcome.CONNECT_FAILED, null);
+            listener.ended(unsendable.poll(), Outcome.MOOT, null); // for want of a connection here, or its shelf is gone
         }
         while (!timeouts.isEmpty() && timeouts.first().until <= now) {
             Link link = out.get(timeouts.first());
--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -4,7 +4,9 @@
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetEvent;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -455,12 +457,17 @@
             @Override
             public void handleFailed(IOException why, Void nothing) {
                 if (opening.remove(conn) != null) {
-                    inbox.add(new NetEvent.Closed(conn, false, String.valueOf(why.getMessage())));
+                    inbox.add(new NetEvent.Closed(conn, false, false, failedHere(why), String.valueOf(why.getMessage())));
                 }
             }
         }, null);
     }
 
+    /** Whether a connection could not be opened for a reason of this machine's: all but a refusal, and silence on the way. */
+    private static boolean failedHere(IOException why) {
+        return !(why instanceof ConnectException) && !(why instanceof NoRouteToHostException);
+    }
+
     /** Connections that stand; for tests that watch handles. */
     public int connections() {
         return wires.size();
--- a/policy/src/main/java/garnetreel/policy/Control.java
+++ b/policy/src/main/java/garnetreel/policy/Control.java
@@ -698,7 +698,7 @@
 
     /** When a repeat of a keyed request may no longer begin. */
     private long repeatsEnd(Request request) {
-        return request.firstRun + request.kind.window() - lead();
+        return request.firstRun + request.kind.window() - lead() - Margins.HELD_UP;
     }
 
     private boolean inGroup(Request request, Node node) {
--- a/policy/src/main/java/garnetreel/policy/ListFreshness.java
+++ b/policy/src/main/java/garnetreel/policy/ListFreshness.java
@@ -18,8 +18,6 @@
     static final long NOTIFIED_WITHIN = 6_000_000;
     /** What discovery has to tell counts as notified so long after a change of its address, microseconds. Source: DAYS. */
     static final long NOTIFIED_AFTER_MOVE = 4_000_000;
-    /** The process may be held up for so long between reading its clock and writing, microseconds. Source: STANDING. */
-    static final long HELD_UP = 150_000;
     /**
      * A draining endpoint turns new requests away at the latest so long after its drain is listed, microseconds. The protocol says
      * that it does and not when; one was seen to take on a request 1.6 s after, and to turn them away 2.7 s after.
@@ -60,7 +58,7 @@
         if (current < movedAt) {
             end = Math.min(end, movedAt + NOTIFIED_AFTER_MOVE);
         }
-        return end - HELD_UP;
+        return end - Margins.HELD_UP;
     }
 
     /** Stands for an endpoint of which nothing is known. */
