--- a/cli/src/main/java/garnetreel/cli/trial/soak/Registry.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/Registry.java
@@ -204,16 +204,19 @@
         synchronized (this) {
             sent = version;
             first = from < 0 ? wholeList() : since(Long.parseLong(target.substring(from + 5)));
-            changes.forEach(change -> note(told.computeIfAbsent(head, any -> new ConcurrentHashMap<>()), change, opened));
         }
+        told.computeIfAbsent(head, any -> new ConcurrentHashMap<>());
         if (!watch) {
             out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + first.length() + "\r\n\r\n" + first).getBytes(StandardCharsets.US_ASCII));
+            wrote(head, 0, sent);
             return;
         }
         out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
         chunk(out, first + "\n");
+        wrote(head, 0, sent);
         while (!closed) {
             String next;
+            long before = sent;
             synchronized (this) {
                 if (version == sent) {
                     Threads.await(this, HEARTBEAT_MILLIS);
@@ -222,10 +225,6 @@
                     next = null;
                 } else {
                     next = version == sent ? "" : since(sent);
-                    long now = System.nanoTime();
-                    long before = sent;
-                    changes.stream().filter(change -> change.version() > before).forEach(change
-                            -> note(told.get(head), change, now));
                     sent = version;
                 }
             }
@@ -236,10 +235,18 @@
                 }
             } else {
                 chunk(out, next + "\n");
+                wrote(head, before, sent);
             }
         }
     }
 
+    /** Changes up to a version have been written to a head whole. */
+    private synchronized void wrote(String head, long after, long upTo) {
+        long now = System.nanoTime();
+        changes.stream().filter(change -> change.version() > after && change.version() <= upTo)
+                .forEach(change -> note(told.get(head), change, now));
+    }
+
     private synchronized String since(long known) {
         return object(false, changes.stream().filter(change -> change.version() > known).map(Change::entry).toList());
     }
@@ -248,9 +255,18 @@
         out.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.US_ASCII));
     }
 
-    /** Time since the registry began, for lines of the log. */
-    double seconds() {
-        return (System.nanoTime() - epoch) / 1e9;
+    /** A time as seconds since the registry began, for messages. */
+    String seconds(long nanos) {
+        return nanos == Long.MAX_VALUE ? "never" : String.format(Locale.ROOT, "%.3f s", (nanos - epoch) / 1e9);
+    }
+
+    /** What a head has been told of a server, and when, for messages. */
+    String describe(String head, String host) {
+        long written = told.getOrDefault(head, Map.of()).getOrDefault(host, Long.MAX_VALUE);
+        synchronized (this) {
+            return "changed at " + seconds(unavailableSince(host)) + ", written to it at " + seconds(written) + ", discovery up since "
+                    + seconds(reachableSince);
+        }
     }
 
     @Override
--- a/cli/src/main/java/garnetreel/cli/trial/soak/StorageServer.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/StorageServer.java
@@ -160,7 +160,8 @@
         long told = registry.toldAt(request.head, name);
         if (told != Long.MAX_VALUE && attempt.firstByteAt() > told + DRAIN_GRACE + ledger.slack()) {
             ledger.report(Violation.timed(Kind.SENT_TO_DRAINING, request.head + " sent " + request.id + " to " + name + " "
-                    + (attempt.firstByteAt() - told) / 1_000_000 + " ms after it counted as told that this drains or is gone"));
+                    + (attempt.firstByteAt() - told) / 1_000_000 + " ms after it counted as told that this drains or is gone; "
+                    + registry.describe(request.head, name) + ", begun at " + registry.seconds(attempt.firstByteAt())));
         }
     }
 
