One guard for every send, one way to end a client's connection, and counters of what is never to happen

HeadCounters counts how requests, attempts and connections ended, by reason, and broken invariants (sent for nobody, sent to unlisted, closed owing an answer, answered twice, not answered); both lines are logged at the end and at a new configuration, and the fault soak takes a number above 0 for a violation. An attempt past its time to begin is now stopped on connections that stood, too.

--- a/core/src/main/java/garnetreel/core/platform/ClientFront.java
+++ b/core/src/main/java/garnetreel/core/platform/ClientFront.java
@@ -5,6 +5,8 @@
 import garnetreel.codec.http.HttpWriter;
 import garnetreel.codec.http.RequestParser;
 import garnetreel.core.io.NetAction;
+import garnetreel.core.platform.HeadCounters.Event;
+import garnetreel.core.platform.HeadCounters.Invariant;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -82,6 +84,7 @@
     }
 
     private final Bounds bounds;
+    private final HeadCounters counters;
     private final Listener listener;
     private final Map<Long, Client> clients = new HashMap<>();
     /** Clients by state, each in the order in which they came to it. */
@@ -90,14 +93,14 @@
     private List<NetAction> actions = new ArrayList<>();
     private long now;
     private long came;
-    private long turnedAway;
     /** Bytes of answers that clients have not read. */
     private int bytes;
     /** Bytes of requests to come. */
     private int unread;
 
-    ClientFront(Bounds bounds, Listener listener) {
+    ClientFront(Bounds bounds, HeadCounters counters, Listener listener) {
         this.bounds = bounds;
+        this.counters = counters;
         this.listener = listener;
         for (State state : STATES) {
             byState.put(state, new LinkedHashMap<>());
@@ -124,11 +127,6 @@
         return clients.isEmpty();
     }
 
-    /** Connections that were closed because of a bound. */
-    long turnedAway() {
-        return turnedAway;
-    }
-
     private LinkedHashMap<Long, Client> in(State state) {
         return byState.get(state);
     }
@@ -159,8 +157,7 @@
             if (first == null) {
                 return; // each of them is owed an answer or is new
             }
-            turnedAway++;
-            close(first, false);
+            close(first, false, Event.CLOSED_TO_MAKE_ROOM);
         }
     }
 
@@ -179,12 +176,20 @@
     private boolean closeFirst(State state) {
         Client first = first(state);
         if (first != null) {
-            close(first, false);
+            close(first, false, Event.CLOSED_AT_END);
         }
         return first != null;
     }
 
-    private void close(Client client, boolean abort) {
+    /**
+     * Ends a connection. All that the head ends of its own accord passes here, so that none goes on which an answer is owed: that of
+     * an open request, or of one that was only counted. A client that reads no answers for long is owed none.
+     */
+    private void close(Client client, boolean abort, Event why) {
+        counters.count(why);
+        if (why != Event.CLOSED_UNREAD && (client.state == State.BUSY || client.toRefuse > 0)) {
+            counters.violated(Invariant.CLOSED_OWING_AN_ANSWER);
+        }
         actions.add(new NetAction.Close(client.conn, abort));
         forget(client);
     }
@@ -225,7 +230,6 @@
         unread += data.remaining();
         pump(client);
         if (client.unreadBytes > UNREAD_MOST_BYTES || unread > bounds.bytes()) {
-            turnedAway++;
             client.counting = true;
             client.unread.forEach(piece -> count(client, piece.data()));
             dropUnread(client);
@@ -277,7 +281,7 @@
                 move(client, State.BEGUN);
             }
             if ((draining || client.last) && client.state == State.IDLE) {
-                close(client, false);
+                close(client, false, Event.CLOSED_AT_END);
             }
         }
     }
@@ -316,6 +320,8 @@
         Client client = clients.get(conn);
         if (client != null && client.state == State.BUSY) {
             write(client, head, body);
+        } else if (client != null) {
+            counters.violated(Invariant.ANSWERED_TWICE);
         }
     }
 
@@ -337,8 +343,7 @@
         move(client, last ? State.SENDING : State.WRITING);
         for (State state : List.of(State.WRITING, State.SENDING)) {
             while (this.bytes > bounds.bytes() && !in(state).isEmpty()) {
-                turnedAway++;
-                close(in(state).values().iterator().next(), true);
+                close(in(state).values().iterator().next(), true, Event.CLOSED_UNREAD);
             }
         }
     }
@@ -395,10 +400,11 @@
                     break;
                 }
                 if (state == State.WRITING || state == State.SENDING) {
-                    close(oldest, true);
+                    close(oldest, true, Event.CLOSED_UNREAD);
                 } else if (state == State.IDLE || state == State.SILENT && draining) {
-                    close(oldest, false);
+                    close(oldest, false, draining ? Event.CLOSED_AT_END : Event.CLOSED_IDLE);
                 } else {
+                    counters.count(Event.REQUEST_TIMED_OUT);
                     oldest.last = true;
                     write(oldest, HttpWriter.response(REQUEST_TIMEOUT), new byte[0]);
                 }
--- a/core/src/main/java/garnetreel/core/platform/PlatformHead.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformHead.java
@@ -42,6 +42,7 @@
     private final Bounds bounds;
     private final Decisions decisions;
     private final Stops stops = new Stops();
+    private final HeadCounters counters = new HeadCounters();
     private final ClientFront front;
     private final ShelfLinks shelves;
     private final DiscoveryLink discovery;
@@ -59,7 +60,7 @@
         this.decisions = new Decisions(scheduler, this);
         this.bounds = Bounds.of(settings.limits());
         ConnectionNumbers numbers = new ConnectionNumbers();
-        front = new ClientFront(bounds, new ClientFront.Listener() {
+        front = new ClientFront(bounds, counters, new ClientFront.Listener() {
             @Override
             public void request(long conn, HttpRequest request, long came) {
                 requested(conn, request, came);
@@ -67,7 +68,7 @@
 
             @Override
             public void pastBound(long conn) {
-                table.turnAway(conn);
+                table.turnAway(conn, HeadCounters.Event.REQUEST_REFUSED_AT_BOUND);
             }
 
             @Override
@@ -75,7 +76,12 @@
                 table.left(conn);
             }
         });
-        shelves = new ShelfLinks(settings, bounds, numbers, new ShelfLinks.Listener() {
+        shelves = new ShelfLinks(settings, bounds, numbers, counters, new ShelfLinks.Listener() {
+            @Override
+            public boolean wanted(Attempt attempt) {
+                return table.wanted(attempt);
+            }
+
             @Override
             public void ended(Attempt attempt, Outcome outcome, HttpResponse answer) {
                 table.ended(attempt, outcome, answer);
@@ -87,7 +93,7 @@
             }
         });
         discovery = new DiscoveryLink(settings, numbers, shelves, event -> events.add(event));
-        table = new RequestTable(settings, bounds, shelves, front, event -> events.add(event));
+        table = new RequestTable(settings, bounds, shelves, front, counters, event -> events.add(event));
     }
 
     @Override
@@ -160,6 +166,7 @@
                 actions.add(new NetAction.Note(Level.WARN, "the new configuration has other settings; they wait for a restart"));
             }
             discovery.redirect(to.settings().discovery());
+            tellCounters(actions);
         } else if (order instanceof Drain && !draining) {
             draining = true;
             stopAcceptingAt = now + ACCEPT_ON;
@@ -173,7 +180,7 @@
             front.answer(conn, HttpWriter.response(ready ? 200 : 503), NOTHING);
         } else if (takesNothing) {
             // What comes now could still be out when the process is killed; refused, it may be asked elsewhere at once.
-            table.turnAway(conn);
+            table.turnAway(conn, HeadCounters.Event.REQUEST_REFUSED_AT_END);
         } else {
             table.arrived(conn, request, came);
         }
@@ -239,10 +246,16 @@
         }
         if (takesNothing && !stopped && front.settled()) {
             stopped = true;
+            tellCounters(actions);
             actions.add(new NetAction.Stopped());
         }
     }
 
+    private void tellCounters(List<NetAction> actions) {
+        actions.add(new NetAction.Note(Level.INFO, counters.totals()));
+        actions.add(new NetAction.Note(counters.violations() == 0 ? Level.INFO : Level.WARN, counters.invariants()));
+    }
+
     @Override
     public long wakeAt() {
         if (!begun || !events.isEmpty()) {
@@ -253,6 +266,11 @@
         return Math.min(next, Math.min(stops.wakeAt(front.connections() > 0), decisions.wakeAt()));
     }
 
+    /** What it did, and which invariants were found broken. */
+    HeadCounters counters() {
+        return counters;
+    }
+
     /** What is held now. */
     Held held() {
         return new Held(front.connections(), table.held(), shelves.connections(), shelves.attempts());
--- a/core/src/main/java/garnetreel/core/platform/RequestTable.java
+++ b/core/src/main/java/garnetreel/core/platform/RequestTable.java
@@ -70,6 +70,7 @@
     private final ShelfLinks shelves;
     private final ClientFront front;
     private final Consumer<Event> module;
+    private final HeadCounters counters;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<String> plans = new HashSet<>();
     private final Map<Long, Operation> operations = new HashMap<>();
@@ -82,12 +83,14 @@
     private long last;
     private int bytes;
 
-    RequestTable(PlatformSettings settings, Bounds bounds, ShelfLinks shelves, ClientFront front, Consumer<Event> module) {
+    RequestTable(PlatformSettings settings, Bounds bounds, ShelfLinks shelves, ClientFront front, HeadCounters counters,
+            Consumer<Event> module) {
         this.settings = settings;
         this.bounds = bounds;
         this.shelves = shelves;
         this.front = front;
         this.module = module;
+        this.counters = counters;
         settings.scheduling().classes().forEach(c -> classes.put(c.name(), c));
         settings.scheduling().plans().forEach(p -> plans.add(p.name()));
     }
@@ -136,7 +139,7 @@
             return;
         }
         if (operations.size() >= bounds.requests() || bytes + request.body().length > bounds.bytes()) {
-            turnAway(conn);
+            turnAway(conn, HeadCounters.Event.REQUEST_REFUSED_AT_BOUND);
             return;
         }
         bytes += request.body().length;
@@ -183,6 +186,7 @@
     }
 
     private void answer(long conn, int status, String why) {
+        counters.count(HeadCounters.Event.REQUEST_INVALID);
         front.answer(conn, HttpWriter.response(status), why.getBytes(StandardCharsets.UTF_8));
     }
 
@@ -197,16 +201,20 @@
         long until = send.timeout() > 0 ? Math.min(operation.validUntil, now + send.timeout()) : operation.validUntil;
         long beginBy = send.beginWithin() > 0 ? Math.min(until, now + send.beginWithin()) : until;
         operation.out++;
+        if (operation.attempts > 0) {
+            counters.count(HeadCounters.Event.ATTEMPT_AGAIN);
+        }
         shelves.send(new Attempt(operation.number, operation.attempts++, send.node(), now, until, beginBy, operation.request));
     }
 
     /** Refuses what can't be a request of this head any more. */
-    void turnAway(long conn) {
+    void turnAway(long conn, HeadCounters.Event why) {
+        counters.count(why);
         front.answer(conn, refusal(settings.scheduling().maxStayAway()), NOTHING);
     }
 
     void refuse(Refuse refuse) {
-        finish(operations.get(refuse.id()), refusal(refuse.stayAway()), NOTHING);
+        finish(operations.get(refuse.id()), refusal(refuse.stayAway()), HeadCounters.Event.REQUEST_REFUSED);
     }
 
     private HttpWriter refusal(long stayAway) {
@@ -215,14 +223,15 @@
     }
 
     void fail(Fail fail) {
-        finish(operations.get(fail.id()), HttpWriter.response(BAD_GATEWAY), NOTHING);
+        finish(operations.get(fail.id()), HttpWriter.response(BAD_GATEWAY), HeadCounters.Event.REQUEST_FAILED);
     }
 
-    private void finish(Operation operation, HttpWriter head, byte[] body) {
+    private void finish(Operation operation, HttpWriter head, HeadCounters.Event how) {
         if (operation == null || operation.over) {
             return; // its client left in the turn in which the module decided
         }
-        front.answer(operation.conn, head, body);
+        counters.count(how);
+        front.answer(operation.conn, head, NOTHING);
         over(operation);
     }
 
@@ -252,16 +261,24 @@
     void left(long conn) {
         Operation operation = byConn.get(conn);
         if (operation != null) {
+            counters.count(HeadCounters.Event.CLIENT_LEFT);
             module.accept(new Abandoned(operation.number));
             over(operation);
         }
     }
 
+    /** Whether the client of an attempt still waits. */
+    boolean wanted(Attempt attempt) {
+        Operation operation = operations.get(attempt.request);
+        return operation != null && !operation.over;
+    }
+
     void ended(Attempt attempt, Outcome outcome, HttpResponse answer) {
         Operation operation = operations.get(attempt.request);
         operation.out--;
         boolean over = operation.over;
         if (!over && outcome == Outcome.OK) {
+            counters.count(HeadCounters.Event.REQUEST_SERVED);
             front.answer(operation.conn, HttpWriter.response(OK), answer.body());
             over(operation);
         } else {
@@ -286,9 +303,10 @@
     void expire() {
         while (!byDeadline.isEmpty() && byDeadline.first().validUntil + OVERDUE <= now) {
             Operation operation = byDeadline.first();
-            defect("left a request without an answer");
+            counters.violated(HeadCounters.Invariant.NOT_ANSWERED);
+            defect("left a request without an answer: " + operation.id);
             module.accept(new Abandoned(operation.number));
-            finish(operation, HttpWriter.response(BAD_GATEWAY), NOTHING);
+            finish(operation, HttpWriter.response(BAD_GATEWAY), HeadCounters.Event.REQUEST_FAILED);
         }
     }
 }
--- a/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
+++ b/core/src/main/java/garnetreel/core/platform/ShelfLinks.java
@@ -7,6 +7,7 @@
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetAction.Level;
 import garnetreel.core.link.ConnectionNumbers;
+import garnetreel.core.platform.HeadCounters.Event;
 import garnetreel.policy.Scheduler.Checked;
 import garnetreel.policy.Scheduler.NodeState;
 import garnetreel.policy.Scheduler.Outcome;
@@ -54,6 +55,9 @@
 
     /** Who is told of ends. */
     interface Listener {
+        /** Whether the client of an attempt still waits. */
+        boolean wanted(Attempt attempt);
+
         /** @param answer what came; null where nothing whole did */
         void ended(Attempt attempt, Outcome outcome, HttpResponse answer);
 
@@ -101,6 +105,8 @@
     private final int answerMost;
     private final int bytesMost;
     private final Listener listener;
+    private final HeadCounters counters;
+    private final SendGuard guard;
     private final Map<String, Shelf> shelves = new HashMap<>();
     private final Map<Long, Link> links = new LinkedHashMap<>();
     private final Map<String, ArrayDeque<Link>> idle = new HashMap<>();
@@ -119,7 +125,10 @@
     private long spoilt;
     private long spoiltSaidAt = Long.MIN_VALUE / 2;
 
-    ShelfLinks(PlatformSettings settings, Bounds bounds, ConnectionNumbers numbers, Listener listener) {
+    ShelfLinks(PlatformSettings settings, Bounds bounds, ConnectionNumbers numbers, HeadCounters counters,
+            Listener listener) {
+        this.counters = counters;
+        this.guard = new SendGuard(counters, this::wantsRequests, listener::wanted);
         this.numbers = numbers;
         this.connectTimeout = settings.scheduling().connectTimeout();
         this.idleMost = (long) (IDLE_PART * (settings.idleClose() > 0 ? settings.idleClose() : IDLE_UNTOLD));
@@ -177,6 +186,7 @@
         });
         for (Link link : List.copyOf(comingUp.values())) {
             if (changed.contains(link.node)) {
+                counters.count(Event.ATTEMPT_SERVER_LEFT);
                 drop(link, true);
                 end(link, Outcome.MOOT, null); // it was meant for what is no longer there, or wants nothing new
             }
@@ -262,6 +272,11 @@
         if (!link.open || link.idle()) {
             return;
         }
+        if (link.attempt != null && !guard.mayBegin(link.attempt, link.dial, now)) {
+            end(link, Outcome.MOOT, null);
+            rest(link);
+            return;
+        }
         link.since = now;
         ByteBuffer request = link.check ? HttpWriter.request("GET", Headers.STATS, Headers.HOST).body(NOTHING, false)
                 : link.attempt.encode(now);
@@ -289,6 +304,7 @@
                 if (link.open) {
                     drop(link, true); // a part is out: without its rest it never runs
                 }
+                counters.count(Event.ATTEMPT_WITHDRAWN);
                 end(link, Outcome.MOOT, null);
             }
         }
@@ -300,9 +316,6 @@
         Link link = links.get(conn);
         link.open = true;
         comingUp.remove(conn);
-        if (link.attempt != null && now >= link.attempt.beginBy) {
-            end(link, Outcome.MOOT, null);
-        }
         if (link.idle()) {
             rest(link);
         } else {
@@ -317,6 +330,7 @@
     /** A connection could not be opened for want of something on this machine: nothing has run, and the shelf is not to blame. */
     void notOpened(long conn) {
         Link link = links.get(conn);
+        counters.count(Event.ATTEMPT_NO_CONNECTION);
         forget(link);
         end(link, Outcome.MOOT, null);
     }
@@ -370,12 +384,16 @@
         link.since = now;
         idle.computeIfAbsent(link.node, any -> new ArrayDeque<>()).addLast(link);
         idleByAge.put(link.conn, link);
-        Shelf shelf = shelves.get(link.node);
-        if (shelf == null || !shelf.up() || !shelf.dial().equals(link.dial)) {
+        if (!wantsRequests(link.node, link.dial)) {
             drop(link, false);
         }
     }
 
+    private boolean wantsRequests(String node, String dial) {
+        Shelf shelf = shelves.get(node);
+        return shelf != null && shelf.up() && shelf.dial().equals(dial);
+    }
+
     private void hold(Link link, int held) {
         bytes += held - link.held;
         link.held = held;
@@ -384,6 +402,7 @@
     /** Says what was wrong with an answer, now and then: a head that took good ones for spoilt was found out only by chance. */
     private void spoilt(Link link, String why) {
         spoilt++;
+        counters.count(Event.ANSWER_SPOILT);
         if (now - spoiltSaidAt >= SAY_EVERY) {
             spoiltSaidAt = now;
             actions.add(new NetAction.Note(Level.WARN, spoilt + " spoilt answers so far, the last from shelf " + link.node + ": "
@@ -461,6 +480,7 @@
     /** Ends what has run out of time. */
     void expire() {
         for (int left = unsendable.size(); left > 0; left--) {
+            counters.count(Event.ATTEMPT_NO_CONNECTION);
             listener.ended(unsendable.poll(), Outcome.MOOT, null); // for want of a connection here, or its shelf is gone
         }
         while (!timeouts.isEmpty() && timeouts.first().until <= now) {
--- a/core/src/test/java/garnetreel/core/platform/CrossingsTest.java
+++ b/core/src/test/java/garnetreel/core/platform/CrossingsTest.java
@@ -152,6 +152,7 @@
             if (left || ending == Ending.SHELF_DRAINS || ending == Ending.SHELF_GONE) {
                 assertEquals(sentBefore, sent(), "an attempt began after what allowed it had ended");
             }
+            assertEquals(0, rig.head.counters().violations(), rig.head.counters().invariants());
             PlatformHead.Held held = rig.head.held();
             assertEquals(0, held.requests(), held.toString());
             assertEquals(0, held.attempts(), held.toString());
--- a/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -654,6 +654,7 @@
             rig.written.clear();
             rig.pass(20_000);
         }
+        assertEquals(0, rig.head.counters().violations(), rig.head.counters().invariants());
         PlatformHead.Held held = rig.head.held();
         assertTrue(held.shelfConnections() <= 1 && held.requests() == 0 && held.clients() <= 309, held.toString());
     }
