Configurations in a row give no more time; half a request counts from its own bytes

Change: of several moves without a list between them the first counts, a configuration that names the old address counts too; ClientFront keeps waits in order of the times from which they are counted.

--- a/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
@@ -22,11 +22,23 @@
     /** Connections that fill the listener's queue, so that further ones do not come up; the system tries those again after 1 s. */
     private static final int FILLERS = BACKLOG + 3;
     private static final int FILLER_MILLIS = 20;
+    /** What is accepted so soon after a pause of accepting has stood in the queue. */
+    private static final long QUEUED_NANOS = 200_000_000;
 
     /** When bytes of one connection came from the head, by their offset. */
     static final class Arrivals {
         private final TreeMap<Long, Long> times = new TreeMap<>();
         private long offset;
+        private boolean unknown;
+
+        private synchronized void unknown() {
+            unknown = true;
+        }
+
+        /** Whether its times are known: not where it stood in the system's queue while nothing was accepted. */
+        synchronized boolean known() {
+            return !unknown;
+        }
 
         private synchronized void came(int bytes) {
             times.put(offset, System.nanoTime());
@@ -50,7 +62,7 @@
     private final SplittableRandom random;
     private volatile int target;
     private volatile long cutUntil = System.nanoTime();
-    private volatile long acceptAfter = System.nanoTime();
+    private volatile long acceptAfter = System.nanoTime() - QUEUED_NANOS;
     private volatile double resets;
     private volatile boolean inPieces;
 
@@ -126,7 +138,8 @@
                     closeQuietly(head);
                     continue;
                 }
-                Threads.start("proxy-connection", () -> connect(head));
+                boolean queued = System.nanoTime() - acceptAfter < QUEUED_NANOS;
+                Threads.start("proxy-connection", () -> connect(head, queued));
             } catch (IOException e) {
                 return;
             }
@@ -137,7 +150,7 @@
         Threads.pause(Math.max(0, (nanos - System.nanoTime()) / 1_000_000));
     }
 
-    private void connect(Socket head) {
+    private void connect(Socket head, boolean queued) {
         open.add(head);
         try {
             Socket server = new Socket(InetAddress.getLoopbackAddress(), target);
@@ -145,6 +158,9 @@
             head.setTcpNoDelay(true);
             server.setTcpNoDelay(true);
             Arrivals came = arrivals(server.getLocalPort());
+            if (queued) {
+                came.unknown();
+            }
             Threads.start("proxy-answers", () -> pump(server, head, null));
             pump(head, server, came);
             arrivals.remove(server.getLocalPort());
--- a/cli/src/main/java/garnetreel/cli/trial/soak/RequestLedger.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/RequestLedger.java
@@ -19,8 +19,12 @@
     /** How a request ended for its client. */
     enum Ended { OPEN, SERVED, REFUSED, FAILED, LEFT, EXCUSED }
 
-    /** An attempt as a server saw it. */
-    record Attempt(String server, long firstByteAt, long lastByteAt, double timeLeft) { }
+    /**
+     * An attempt as a server saw it.
+     *
+     * @param timed whether its times are those at which its bytes left the head
+     */
+    record Attempt(String server, long firstByteAt, long lastByteAt, double timeLeft, boolean timed) { }
 
     /** One request of a well-behaved client. */
     static final class Request {
@@ -148,6 +152,9 @@
             all.add(Violation.of(Kind.REFUSED_BUT_RAN, name + "ran"));
         }
         for (Attempt attempt : request.attempts) {
+            if (!attempt.timed()) {
+                continue;
+            }
             long late = attempt.firstByteAt() - request.leftAt;
             if (request.leftAt != Long.MAX_VALUE && late > 100_000_000 + slack) {
                 all.add(Violation.timed(Kind.SENT_AFTER_LEAVE, name + "was sent to " + attempt.server() + " "
--- a/core/src/main/java/garnetreel/core/platform/ClientFront.java
+++ b/core/src/main/java/garnetreel/core/platform/ClientFront.java
@@ -11,11 +11,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 
 /**
  * Connections from clients. Each has one request open at most; bytes of the next ones wait, up to a bound past which the
@@ -70,6 +71,8 @@
         final ArrayDeque<Piece> unread = new ArrayDeque<>(1);
         State state = State.SILENT;
         long since;
+        /** When the first bytes came of a request that is not whole; it may have waited behind another since. */
+        long halfSince;
         int unreadBytes;
         int toDrain;
         boolean last;
@@ -87,8 +90,8 @@
     private final HeadCounters counters;
     private final Listener listener;
     private final Map<Long, Client> clients = new HashMap<>();
-    /** Clients by state, each in the order in which they came to it. */
-    private final Map<State, LinkedHashMap<Long, Client>> byState = new EnumMap<>(State.class);
+    /** Clients by state, in the order of the times from which their waits in it are counted. */
+    private final Map<State, TreeSet<Client>> byState = new EnumMap<>(State.class);
     private boolean draining;
     private List<NetAction> actions = new ArrayList<>();
     private long now;
@@ -103,7 +106,7 @@
         this.counters = counters;
         this.listener = listener;
         for (State state : STATES) {
-            byState.put(state, new LinkedHashMap<>());
+            byState.put(state, new TreeSet<>(Comparator.<Client>comparingLong(c -> c.since).thenComparingLong(c -> c.conn)));
         }
     }
 
@@ -127,15 +130,19 @@
         return clients.isEmpty();
     }
 
-    private LinkedHashMap<Long, Client> in(State state) {
+    private TreeSet<Client> in(State state) {
         return byState.get(state);
     }
 
     private void move(Client client, State to) {
-        in(client.state).remove(client.conn);
+        move(client, to, now);
+    }
+
+    private void move(Client client, State to, long since) {
+        in(client.state).remove(client);
         client.state = to;
-        client.since = now;
-        in(to).put(client.conn, client);
+        client.since = since;
+        in(to).add(client);
     }
 
     // ---------------------------------------------------------------- connections
@@ -170,7 +177,7 @@
     }
 
     private Client first(State state) {
-        return in(state).isEmpty() ? null : in(state).values().iterator().next();
+        return in(state).isEmpty() ? null : in(state).first();
     }
 
     private boolean closeFirst(State state) {
@@ -199,7 +206,7 @@
         client.toDrain = 0;
         dropUnread(client);
         clients.remove(client.conn);
-        in(client.state).remove(client.conn);
+        in(client.state).remove(client);
     }
 
     void closed(long conn) {
@@ -237,11 +244,12 @@
     }
 
     /** Reads requests that are past the bound: of each only that it has to be refused is kept. */
-    private static void count(Client client, ByteBuffer data) {
+    private void count(Client client, ByteBuffer data) {
         try {
             while (data.hasRemaining() && client.unreadable == null) {
                 HttpRequest request = client.parser.next(data);
                 client.toRefuse += request == null ? 0 : 1;
+                client.halfSince = came;
             }
         } catch (ProtocolException e) {
             client.unreadable = e.getMessage();
@@ -278,7 +286,7 @@
             }
             pump(client);
             if (client.parser.begun() && client.state == State.IDLE) {
-                move(client, State.BEGUN);
+                move(client, State.BEGUN, client.halfSince);
             }
             if ((draining || client.last) && client.state == State.IDLE) {
                 close(client, false, Event.CLOSED_AT_END);
@@ -293,7 +301,9 @@
                     && !client.unread.isEmpty() && clients.containsKey(client.conn)) {
                 Piece piece = client.unread.peekFirst();
                 int before = piece.data().remaining();
+                boolean goesOn = client.parser.begun();
                 HttpRequest request = client.parser.next(piece.data());
+                client.halfSince = goesOn && request == null ? client.halfSince : piece.came();
                 client.unreadBytes -= before - piece.data().remaining();
                 unread -= before - piece.data().remaining();
                 if (!piece.data().hasRemaining()) {
@@ -304,7 +314,7 @@
                     client.last = request.fields().holds("Connection", "close");
                     listener.request(client.conn, request, piece.came());
                 } else if (client.parser.begun() && (client.state == State.IDLE || draining && client.state == State.SILENT)) {
-                    move(client, State.BEGUN);
+                    move(client, State.BEGUN, draining ? now : client.halfSince);
                 }
             }
         } catch (ProtocolException e) {
@@ -343,7 +353,7 @@
         move(client, last ? State.SENDING : State.WRITING);
         for (State state : List.of(State.WRITING, State.SENDING)) {
             while (this.bytes > bounds.bytes() && !in(state).isEmpty()) {
-                close(in(state).values().iterator().next(), true, Event.CLOSED_UNREAD);
+                close(first(state), true, Event.CLOSED_UNREAD);
             }
         }
     }
@@ -359,7 +369,7 @@
         while (closeFirst(State.IDLE)) {
             continue;
         }
-        for (Client client : List.copyOf(in(State.SILENT).values())) {
+        for (Client client : List.copyOf(in(State.SILENT))) {
             if (client.parser.begun()) {
                 move(client, State.BEGUN);
             }
@@ -385,7 +395,7 @@
         long next = clients.size() > bounds.clients() && silent != null ? silent.since + NEW_FOR : Long.MAX_VALUE;
         for (State state : STATES) {
             if (!in(state).isEmpty()) {
-                next = Math.min(next, in(state).values().iterator().next().since + most(state));
+                next = Math.min(next, first(state).since + most(state));
             }
         }
         return next;
@@ -395,7 +405,7 @@
         makeRoom();
         for (State state : STATES) {
             while (!in(state).isEmpty()) {
-                Client oldest = in(state).values().iterator().next();
+                Client oldest = first(state);
                 if (now - oldest.since < most(state)) {
                     break;
                 }
--- a/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
+++ b/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
@@ -127,14 +127,14 @@
         }
     }
 
-    /** Discovery is elsewhere from now on. */
+    /** A new configuration: discovery is elsewhere from now on, or where it was; what it has to tell counts as told soon either way. */
     void redirect(String to) {
+        events.accept(new DiscoveryMoved());
         if (to.equals(address)) {
             return;
         }
         actions.add(new NetAction.Note(Level.INFO, "discovery moves from " + address + " to " + to));
         address = to;
-        events.accept(new DiscoveryMoved());
         anyVersion = true; // it may count from elsewhere, and tell nothing that is below a version of the old one's
         // What is out at the old address could answer after the new one; a back-off was meant for the old one.
         end(watch);
--- a/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -366,6 +366,16 @@
         assertTrue(rig.closed.contains(1L));
     }
 
+    /** A client that stops in mid-request behind an open one is owed its error 3 s after it stopped, not after the open one's answer. */
+    @Test
+    void halfARequestBehindAnOpenOneIsCountedFromItsOwnBytes() throws JsonException {
+        Rig rig = out("");
+        rig.receive(1, "GET /read HTT").pass(400_000).receive(rig.lastOpened, Rig.answer("result", ""));
+        assertTrue(rig.sent(1).endsWith("result"));
+        rig.pass(1_600_000);
+        assertTrue(rig.sent(1).contains("HTTP/1.1 408 ") && rig.closed.contains(1L), "2 s after its bytes came: " + rig.sent(1));
+    }
+
     /** An empty line ahead of a request line is skipped (RFC 9112, 2.2). */
     @Test
     void anEmptyLineBeforeARequestIsSkipped() throws JsonException {
--- a/policy/src/main/java/garnetreel/policy/ListFreshness.java
+++ b/policy/src/main/java/garnetreel/policy/ListFreshness.java
@@ -42,9 +42,14 @@
         outage = !up;
     }
 
-    /** Discovery has another address as of this time. */
+    /**
+     * Discovery may have another address as of this time. Of several moves without a list between them the first counts: what it
+     * bounds is not told later because of the others.
+     */
     void moved(long now) {
-        movedAt = now;
+        if (movedAt <= confirmedAt) {
+            movedAt = now;
+        }
         outage = false;
     }
 
