--- /dev/null
+++ b/cli/src/test/java/garnetreel/cli/trial/soak/FaultSoakTest.java
@@ -0,0 +1,33 @@
+package garnetreel.cli.trial.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A short fault soak of fixed seeds. Only rules whose verdict compares no times count here; the command judges all. */
+@Timeout(300)
+class FaultSoakTest {
+    private static final int SECONDS = 6;
+    private static final int HEADS = 3;
+    private static final long SLACK_MILLIS = 3_000;
+
+    @TempDir
+    Path directory;
+
+    @ParameterizedTest
+    @ValueSource(longs = {3, 8})
+    void noRuleIsBroken(long seed) throws IOException {
+        StringWriter said = new StringWriter();
+        FaultSoak.Plan plan = new FaultSoak.Plan(seed, SECONDS, HEADS, SLACK_MILLIS, "garnetreel.cli.PlatformMain", List.of(), true, directory);
+        FaultSoak.Result result = new FaultSoak(plan, new PrintWriter(said, true)).run();
+        assertEquals(List.of(), result.untimed(), said + result.summary());
+    }
+}
--- a/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -376,6 +376,18 @@
         assertTrue(rig.sent(1).contains("HTTP/1.1 408 ") && rig.closed.contains(1L), "2 s after its bytes came: " + rig.sent(1));
     }
 
+    /** After a turn that comes late, as of a process that is held up, the module still gives the answer itself. */
+    @Test
+    void aLateTurnIsNoDefectOfTheModule() throws JsonException {
+        PlatformSettings settings = PlatformSettings.read(String.format(Rig.CONFIG, 512, "").getBytes(StandardCharsets.UTF_8));
+        Rig rig = new Rig(512, new Control(settings.scheduling(), 1)).accept(1).receive(1, Rig.request(ID, ""));
+        rig.tell(new NetEvent.Connected(rig.lastOpened));
+        rig.now += 600_000; // the request's time ended 120 ms ago
+        rig.turn();
+        assertTrue(rig.sent(1).startsWith("HTTP/1.1 502 "), "it may have run: " + rig.sent(1));
+        assertEquals(0, rig.head.counters().violations(), rig.head.counters().invariants());
+    }
+
     /** An empty line ahead of a request line is skipped (RFC 9112, 2.2). */
     @Test
     void anEmptyLineBeforeARequestIsSkipped() throws JsonException {
