Requests out of time are failed by the table only behind the module's turn

Cause: PlatformHead.turn had RequestTable.expire ahead of decide, so after a turn that came over 24 ms late the table failed, as a defect of the module, what the module was about to answer, with 502 where it would have refused or known better. Ruled out: the module's own lead, which the forced turn shows to be enough. Change: the order of the two.

--- a/core/src/main/java/garnetreel/core/platform/PlatformHead.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformHead.java
@@ -114,9 +114,9 @@
         }
         shelves.expire();
         discovery.expire();
-        table.expire();
         front.expire();
         decide(actions);
+        table.expire(); // behind the module's turn: after a late one it still gives its answers itself
         end(actions);
     }
 
