Lists of the largest fleet: a test, and room for twice as much

Looked for: an indented list of 3,200 servers with names of 60 characters against the bound of 1 MiB. It takes 0.9 MiB and was taken, so no fault; the bound is 2 MiB now, since nothing above it would ever be had.

--- a/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
+++ b/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
@@ -30,8 +30,8 @@
  * docs/platform.md). Each head adds a random part, so that a fleet whose watches fall silent at once does not call at once.
  */
 final class DiscoveryLink {
-    /** The list, or one object of the watch: the platform says 64 KiB, and an indented one of 200 shelves takes as much. */
-    private static final int OBJECT_MOST = 1 << 20;
+    /** The list, or one object of the watch: an indented one of 3,200 servers with long names takes 0.9 MiB. */
+    private static final int OBJECT_MOST = 2 << 20;
     private static final long CONNECT_WAIT = 1_000_000;
     /**
      * The first answer is waited for so long. Guards against a discovery with too many callers that gets nothing done: calls
--- a/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -395,6 +395,20 @@
         assertEquals(1, rig.told(Arrived.class).size());
     }
 
+    /** The largest fleet, its list indented and its names long. */
+    @Test
+    void aListOfTheLargestFleetIsTaken() throws JsonException {
+        Rig rig = watching();
+        StringBuilder list = new StringBuilder("{\"seq\": 10, \"whole\": true, \"hosts\": [");
+        for (int i = 0; i < 3_200; i++) {
+            list.append(i == 0 ? "" : ",").append(Rig.shelf("storage-server-" + "x".repeat(45) + i, 2002, "up", 1_796_203_754_399L)
+                    .replace(",\"", ",\n        \"").replace("{", "\n      {\n        "));
+        }
+        rig.receive(rig.lastOpened, chunk(list.append("]}").toString()));
+        assertEquals(ListKind.ALL, last(rig));
+        assertEquals(3_200, rig.told(NodeNews.class).get(rig.told(NodeNews.class).size() - 1).entries().size());
+    }
+
     /** When the scheduler was last told that a server started. */
     private static long startedAt(Rig rig, String server) {
         return rig.told(NodeNews.class).stream().flatMap(news -> news.entries().stream()).filter(e -> e.address().equals(server))
