--- a/store/src/main/java/garnetreel/store/Journal.java
+++ b/store/src/main/java/garnetreel/store/Journal.java
@@ -66,6 +66,13 @@
         store.compactFile(COMPACT_MS);
     }
 
+    /** Number of the last record that was added, whether it is still kept or covered by a snapshot; 0 for none. */
+    public synchronized long last() {
+        Long record = records.lastKey();
+        Long snapshot = snapshots.lastKey();
+        return Math.max(record == null ? 0 : record, snapshot == null ? 0 : snapshot);
+    }
+
     /** All that is kept. */
     public synchronized Kept kept() {
         return new Kept(snapshots.isEmpty() ? null : snapshots.get(snapshots.lastKey()),
