--- a/cli/src/main/java/garnetreel/cli/MapdCommand.java
+++ b/cli/src/main/java/garnetreel/cli/MapdCommand.java
@@ -4,8 +4,10 @@
 import garnetreel.cli.config.SettingsException;
 import garnetreel.map.MapState;
 import garnetreel.mapd.MapService;
+import garnetreel.net.BackgroundKeeper;
 import garnetreel.net.Driver;
 import garnetreel.store.Journal;
+import garnetreel.store.StateDirectory;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
@@ -36,6 +38,7 @@
         Journal journal = new Journal(Path.of(directory, "map.journal"));
         Journal.Kept kept = journal.kept();
         MapState state = MapState.recover(settings.firstMap(), kept.snapshot(), kept.records());
+        BackgroundKeeper background = new BackgroundKeeper(new StateDirectory(Path.of(directory)), journal);
         Process process = new Process();
         Driver driver = process.run("mapd", new MapService(settings.mapd(listen, settings.list(),
                 process.clock.micros()), state), new Driver.Keeper() {
@@ -46,21 +49,19 @@
 
                     @Override
                     public void append(long seq, byte[] data, Runnable durable) {
-                        // One record is out at a time, so this thread waits for the disk and nothing is lost by it.
-                        journal.append(seq, data);
-                        durable.run();
+                        background.append(seq, data, durable);
                     }
 
                     @Override
                     public void snapshot(long seq, byte[] data, int kept) {
-                        journal.snapshot(seq, data, kept);
+                        background.snapshot(seq, data, kept);
                     }
                 });
         spec.commandLine().getOut().println("ready map://" + Process.bound(driver, MapService.LISTENER));
         spec.commandLine().getOut().flush();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             process.close();
-            journal.close();
+            background.close();
             Runtime.getRuntime().halt(Main.FINE);
         }, "end"));
         return Process.untilStopped(driver);
--- a/cli/src/main/java/garnetreel/cli/trial/lab/MapSizes.java
+++ b/cli/src/main/java/garnetreel/cli/trial/lab/MapSizes.java
@@ -126,7 +126,7 @@
         }
     }
 
-    private static void oneMove(MapState state, SplittableRandom random, Journal journal) {
+    private static void oneMove(MapState state, SplittableRandom random, Journal journal) throws IOException {
         long extent = random.nextLong(100_000);
         int to = random.nextInt(SHARDS.size());
         if (state.map(1).shard(extent) == to) {
--- a/net/src/main/java/garnetreel/net/BackgroundKeeper.java
+++ b/net/src/main/java/garnetreel/net/BackgroundKeeper.java
@@ -11,10 +11,15 @@
 
 /**
  * Writes states to a directory on a thread of its own, so that no turn waits for a disk. Only the newest of a name
- * waits; what it overtook is never written. A failed write is logged, and the next one of that name tries again.
+ * waits; what it overtook is never written. A write that fails is logged and tried again until it succeeds, records of the journal
+ * in their order: a disk may fail for a while, and what was taken on is owed. At the end that goes on for a limited time.
  */
 public final class BackgroundKeeper implements Driver.Keeper, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(BackgroundKeeper.class);
+    /** Pause ahead of another try after a failed write. */
+    private static final long RETRY_MILLIS = 200;
+    /** Tries that are left once it is being closed. */
+    private static final int TRIES_AT_END = 25;
 
     private record Record(long seq, byte[] data, int kept, Runnable durable) { }
 
@@ -24,6 +29,7 @@
     private final Map<String, byte[]> waiting = new LinkedHashMap<>();
     private final Thread thread;
     private boolean closed;
+    private int triesAtEnd;
 
     /** @param journal takes records and snapshots; null for a machine that writes none */
     public BackgroundKeeper(StateDirectory directory, Journal journal) {
@@ -52,7 +58,7 @@
         notifyAll();
     }
 
-    private void write(Record record) {
+    private void write(Record record) throws IOException {
         if (record.durable() == null) {
             journal.snapshot(record.seq(), record.data(), record.kept());
         } else {
@@ -63,38 +69,78 @@
 
     private void run() {
         try {
-            while (true) {
-                String name = null;
-                byte[] data = null;
-                Record record;
-                synchronized (this) {
-                    while (waiting.isEmpty() && records.isEmpty()) {
-                        if (closed) {
-                            return;
-                        }
-                        wait();
-                    }
-                    record = records.poll();
-                    if (record == null) {
-                        name = waiting.keySet().iterator().next();
-                        data = waiting.remove(name);
-                    }
+            boolean failing = false;
+            while (awaitWork()) {
+                boolean failed = !writeNext(failing);
+                if (failed && !pause()) {
+                    LOG.error("{} records and {} states were given up, as the disk still fails", records.size(), waiting.size());
+                    return;
                 }
-                if (record != null) {
-                    write(record);
-                    continue;
-                }
-                try {
-                    directory.write(name, data);
-                } catch (IOException e) {
-                    LOG.warn("state {} could not be kept: {}", name, e.getMessage());
+                if (failing && !failed) {
+                    LOG.info("the disk works again");
                 }
+                failing = failed;
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Waits until there is something to write; false at the end. */
+    private synchronized boolean awaitWork() throws InterruptedException {
+        while (waiting.isEmpty() && records.isEmpty()) {
+            if (closed) {
+                return false;
+            }
+            wait();
+        }
+        return true;
+    }
+
+    /** Writes the next record, else a state; false if that failed, and it then waits as before. */
+    private boolean writeNext(boolean quiet) {
+        Record record;
+        String name = null;
+        byte[] data = null;
+        synchronized (this) {
+            record = records.peek();
+            if (record == null) {
+                name = waiting.keySet().iterator().next();
+                data = waiting.get(name);
+            }
+        }
+        try {
+            if (record != null) {
+                write(record);
+            } else {
+                directory.write(name, data);
+            }
+        } catch (IOException e) {
+            if (!quiet) {
+                LOG.warn("{} could not be kept and is tried again: {}", record != null ? "record " + record.seq() : "state " + name,
+                        e.getMessage());
+            }
+            return false;
+        }
+        synchronized (this) {
+            if (record != null) {
+                records.remove();
+            } else {
+                waiting.remove(name, data);
+            }
+        }
+        return true;
+    }
+
+    /** Lets some time pass; false if no further try is left. */
+    private synchronized boolean pause() throws InterruptedException {
+        if (closed && ++triesAtEnd > TRIES_AT_END) {
+            return false;
+        }
+        wait(RETRY_MILLIS);
+        return true;
+    }
+
     /** Writes what waits, then ends. */
     @Override
     public void close() {
