An address in use is tried again, and a stall leaves the sockets time before the time limits

Change: 10 ms after a stall. It narrows the moment and does not close it; XNIO tells nobody that it has selected.

--- a/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
@@ -22,12 +22,6 @@
     /** Connections that fill the listener's queue, so that further ones do not come up; the system tries those again after 1 s. */
     private static final int FILLERS = BACKLOG + 3;
     private static final int FILLER_MILLIS = 20;
-    /**
-     * What is accepted so soon after a pause of accepting may have stood in the queue, or have been open for the head alone: the
-     * system drops the last step of a handshake when the queue is full, and tries it again for seconds.
-     */
-    private static final long QUEUED_NANOS = 3_000_000_000L;
-
     /** When bytes of one connection came from the head, by their offset. */
     static final class Arrivals {
         private final TreeMap<Long, Long> times = new TreeMap<>();
@@ -38,7 +32,7 @@
             unknown = true;
         }
 
-        /** Whether its times are known: not where it stood in the system's queue while nothing was accepted. */
+        /** Whether its times are known: not where bytes had come before it was accepted, which may have been long before. */
         synchronized boolean known() {
             return !unknown;
         }
@@ -65,7 +59,7 @@
     private final SplittableRandom random;
     private volatile int target;
     private volatile long cutUntil = System.nanoTime();
-    private volatile long acceptAfter = System.nanoTime() - QUEUED_NANOS;
+    private volatile long acceptAfter = System.nanoTime();
     private volatile double resets;
     private volatile boolean inPieces;
 
@@ -141,7 +135,8 @@
                     closeQuietly(head);
                     continue;
                 }
-                boolean queued = System.nanoTime() - acceptAfter < QUEUED_NANOS;
+                // The system opens connections by itself while its queue has room, or for the head alone when it is full.
+                boolean queued = head.getInputStream().available() > 0;
                 Threads.start("proxy-connection", () -> connect(head, queued));
             } catch (IOException e) {
                 return;
--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -4,6 +4,7 @@
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetEvent;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
@@ -63,12 +64,23 @@
     private static final long UNLISTEN_MILLIS = 5;
     /** A listener that pauses after a failed accept goes on after at most so long. */
     private static final long ACCEPT_AGAIN_MILLIS = 20;
+    /**
+     * An address that can't be bound is tried again for 8 s. Guards against a restart that fails because the process before it, or a
+     * connection from its port, has not quite gone.
+     */
+    private static final int BIND_TRIES = 80;
+    private static final long BIND_AGAIN_MILLIS = 100;
     /** Closed connections that wait for their peer's end; past it the one that has waited longest is cut. */
     private static final int LINGERING_MOST = 24;
     /** Turns that a machine gets in a row when it wants them at once; then sockets are looked at. */
     private static final int TURNS_AT_ONCE = 16;
     /** XNIO counts timers in whole milliseconds: a shorter one is a task, which runs before the selection. */
     private static final long YIELD_MILLIS = 1;
+    /**
+     * The same after a stall. XNIO looks for due timers once more ahead of its selection, so one of 1 ms comes ahead of the sockets
+     * wherever the way there takes longer than that, as on a machine that has just stalled.
+     */
+    private static final long YIELD_AFTER_STALL_MILLIS = 10;
     /**
      * A turn this late tells that the process stood still. Guards against ending what has come meanwhile: XNIO runs timers
      * before it selects, so a head that got no CPU for 250 ms dropped connections that stood and answers that lay there
@@ -88,6 +100,8 @@
     private final Map<Long, Wire> wires = new ConcurrentHashMap<>();
     private final Map<Long, IoFuture<StreamConnection>> opening = new ConcurrentHashMap<>();
     private final Map<String, AcceptingChannel<StreamConnection>> listeners = new ConcurrentHashMap<>();
+    /** Listeners whose address is being bound. */
+    private final Set<String> binding = new LinkedHashSet<>();
     private final Map<String, CompletableFuture<String>> bound = new ConcurrentHashMap<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final AtomicLong accepted = new AtomicLong();
@@ -250,7 +264,7 @@
             // Guards against a machine that always wants another turn: XNIO runs all tasks and timers that are due before
             // it selects, so such a one would never be told anything again (with a timer of 1 us a map service that asked
             // for turn after turn did not read a report for 2 s). One timer at a time, and not due before the selection.
-            afterSelection();
+            afterSelection(now - wake < STALLED ? YIELD_MILLIS : YIELD_AFTER_STALL_MILLIS);
         } else if (wake < timerAt && wake != Long.MAX_VALUE) {
             timerAt = wake;
             io.executeAfter(() -> {
@@ -260,20 +274,20 @@
                 if (clock.micros() - wake < STALLED) {
                     turn();
                 } else {
-                    afterSelection();
+                    afterSelection(YIELD_AFTER_STALL_MILLIS);
                 }
             }, wholeMillis(Math.min(LONGEST_WAIT, wake - now)), TimeUnit.MILLISECONDS);
         }
     }
 
     /** Gives a turn once sockets have been looked at. */
-    private void afterSelection() {
+    private void afterSelection(long millis) {
         if (!yielding) {
             yielding = true;
             io.executeAfter(() -> {
                 yielding = false;
                 turn();
-            }, YIELD_MILLIS, TimeUnit.MILLISECONDS);
+            }, millis, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -372,24 +386,44 @@
     }
 
     private void listen(NetAction.Listen listen) {
+        binding.add(listen.listener());
+        listen(listen, BIND_TRIES);
+    }
+
+    private void listen(NetAction.Listen listen, int triesLeft) {
         CompletableFuture<String> address = bound(listen.listener());
         try {
             AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
                     Addresses.parse(listen.address()), (ChannelListener<AcceptingChannel<StreamConnection>>) channel
                             -> accept(listen.listener(), channel), bounded(listen.most()));
             listeners.put(listen.listener(), server);
+            binding.remove(listen.listener());
             server.resumeAccepts();
             keepAccepting(listen.listener(), server, AcceptPauses.of(server));
             String text = Addresses.text(server.getLocalAddress(InetSocketAddress.class));
             inbox.add(new NetEvent.Listening(listen.listener(), text));
             address.complete(text);
+        } catch (BindException e) {
+            if (triesLeft == 0) {
+                listenFailed(listen, address, e);
+                return;
+            }
+            log.info("can't listen on {} yet: {}", listen.address(), e.getMessage());
+            io.executeAfter(() -> {
+                if (!dead && binding.contains(listen.listener())) {
+                    listen(listen, triesLeft - 1);
+                }
+            }, BIND_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
         } catch (IOException | IllegalArgumentException e) {
-            inbox.add(new NetEvent.ListenFailed(listen.listener(), e.getMessage()));
-            address.completeExceptionally(new IOException("can't listen on " + listen.address() + ": "
-                    + e.getMessage(), e));
+            listenFailed(listen, address, e);
         }
     }
 
+    private void listenFailed(NetAction.Listen listen, CompletableFuture<String> address, Exception e) {
+        inbox.add(new NetEvent.ListenFailed(listen.listener(), e.getMessage()));
+        address.completeExceptionally(new IOException("can't listen on " + listen.address() + ": " + e.getMessage(), e));
+    }
+
     private void keepAccepting(String listener, AcceptingChannel<StreamConnection> server, AcceptPauses pauses) {
         io.executeAfter(() -> {
             if (!dead && listeners.get(listener) == server) {
@@ -401,6 +435,7 @@
 
     /** Ends a listener once what waits in it is accepted. */
     private void unlisten(String listener) {
+        binding.remove(listener);
         AcceptingChannel<StreamConnection> server = listeners.remove(listener);
         if (server != null) {
             unlistening.add(server);
--- a/net/src/test/java/garnetreel/net/DriverTest.java
+++ b/net/src/test/java/garnetreel/net/DriverTest.java
@@ -1,11 +1,13 @@
 package garnetreel.net;
 
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import garnetreel.core.io.Machine;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetEvent;
+import java.util.concurrent.TimeoutException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -17,6 +19,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.Test;
 
 class DriverTest {
@@ -204,4 +207,33 @@
             }
         }
     }
+
+    /** Listens at one address and does nothing else. */
+    private record Listening(String address) implements Machine {
+        @Override
+        public void turn(long now, List<NetEvent> events, List<NetAction> actions) {
+            if (events.isEmpty()) {
+                actions.add(new NetAction.Listen("one", address));
+            }
+        }
+
+        @Override
+        public long wakeAt() {
+            return Long.MAX_VALUE;
+        }
+    }
+
+    /** The process before this one has not quite gone: its address is taken for a moment. */
+    @Test
+    @Timeout(60)
+    void anAddressInUseIsTakenOnceItIsFree() throws Exception {
+        ServerSocket before = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        try (Driver driver = new Driver("test", new Listening("127.0.0.1:" + before.getLocalPort()), Clock.system(), (name, data) -> { })) {
+            driver.start();
+            CompletableFuture<String> bound = driver.bound("one");
+            assertThrows(TimeoutException.class, () -> bound.get(300, TimeUnit.MILLISECONDS), "it waits, and does not fail");
+            before.close();
+            assertEquals("127.0.0.1:" + before.getLocalPort(), bound.get(30, TimeUnit.SECONDS));
+        }
+    }
 }
