--- a/cli/src/main/java/garnetreel/cli/trial/soak/HeadProcess.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/HeadProcess.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -65,7 +66,7 @@
         this.settings = settings;
         this.mainClass = mainClass;
         this.environment = environment;
-        this.port = Sockets.freePort();
+        this.port = Sockets.freePort(new SplittableRandom());
         this.discovery = registry.listen(name);
         this.faults = shim.isPresent() ? ProcessFaults.of(shim.get(), directory.resolve("faults")) : null;
     }
--- a/cli/src/main/java/garnetreel/cli/trial/soak/Trouble.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/Trouble.java
@@ -40,7 +40,7 @@
         void play(SoakWorld world, SplittableRandom random) throws IOException {
             HeadProcess head = head(world, random);
             for (int i = 0; i < 6 && head.state() == HeadProcess.State.READY; i++) {
-                head.holdUp(20 + random.nextInt(120));
+                head.holdUp(20 + random.nextInt(60)); // the signals themselves take some of the 150 ms
                 Threads.pause(random.nextInt(400));
             }
         }
