--- a/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
@@ -99,19 +99,11 @@
                 fillers.add(filler.getLocalPort());
                 open.add(filler);
             } catch (IOException e) {
-                closeQuietly(filler); // the queue is full
+                Sockets.close(filler); // the queue is full
             }
         }
     }
 
-    private static void closeQuietly(Socket socket) {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            // it had ended
-        }
-    }
-
     /** Part of pieces at which a connection is reset, and whether pieces are of a few bytes. */
     void rough(double resetPart, boolean small) {
         resets = resetPart;
@@ -132,7 +124,7 @@
                 pauseUntil(acceptAfter);
                 Socket head = listener.accept();
                 if (fillers.remove(head.getPort())) {
-                    closeQuietly(head);
+                    Sockets.close(head);
                     continue;
                 }
                 // The system opens connections by itself while its queue has room, or for the head alone when it is full.
--- a/cli/src/main/java/garnetreel/cli/trial/soak/SoakClient.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/SoakClient.java
@@ -59,11 +59,7 @@
 
     private void drop() {
         if (socket != null) {
-            try {
-                socket.close();
-            } catch (IOException e) {
-                // it had ended
-            }
+            Sockets.close(socket);
             socket = null;
         }
     }
--- a/cli/src/main/java/garnetreel/cli/trial/soak/Sockets.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/Sockets.java
@@ -24,6 +24,15 @@
         }
     }
 
+    /** Ends a connection in order. */
+    static void close(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // it had ended
+        }
+    }
+
     /** A port that nobody listens at, below those that the system gives to connections: a head keeps its port over restarts. */
     static int freePort(SplittableRandom random) throws IOException {
         IOException last = null;
--- a/cli/src/main/java/garnetreel/cli/trial/soak/Trouble.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/Trouble.java
@@ -208,7 +208,7 @@
                 }
                 Threads.pause(1_500);
             } finally {
-                crowd.forEach(random.nextBoolean() ? Sockets::reset : Trouble::closeQuietly);
+                crowd.forEach(random.nextBoolean() ? Sockets::reset : Sockets::close);
             }
         }
     },
@@ -284,12 +284,4 @@
             calls.forEach(call -> faults.fail(call, 0));
         });
     }
-
-    private static void closeQuietly(Socket socket) {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            // it had ended
-        }
-    }
 }
