--- a/cli/src/main/java/garnetreel/cli/trial/soak/HeadProcess.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/HeadProcess.java
@@ -56,6 +56,7 @@
     private volatile long endingSince = Long.MAX_VALUE;
     private volatile long killedAt = Long.MIN_VALUE;
     private volatile long crowdedUntil = Long.MIN_VALUE;
+    private volatile long leavingUntil = System.nanoTime();
 
     HeadProcess(String name, Path directory, Registry registry, RequestLedger ledger, String settings, String mainClass,
             Optional<Path> shim, List<String> environment) throws IOException {
@@ -94,6 +95,15 @@
         return crowdedUntil >= nanos;
     }
 
+    /** For so long most of its clients leave. */
+    void clientsLeave(long millis) {
+        leavingUntil = System.nanoTime() + millis * 1_000_000;
+    }
+
+    boolean clientsLeave() {
+        return System.nanoTime() < leavingUntil;
+    }
+
     void crowded(long millis) {
         crowdedUntil = System.nanoTime() + millis * 1_000_000;
     }
--- a/cli/src/main/java/garnetreel/cli/trial/soak/StorageServer.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/StorageServer.java
@@ -135,7 +135,7 @@
         }
         String id = request.field("X-Correlation-Id");
         Attempt attempt = new Attempt(name, arrivals.at(request.firstByte()), arrivals.at(request.end() - 1),
-                Double.parseDouble(request.field("X-Time-Left")), arrivals.known());
+                Double.parseDouble(request.field("X-Time-Left")), arrivals.certainty());
         if (!ledger.attempted(attempt, id, request.body())) {
             write(out, "HTTP/1.1 400 Unknown\r\nContent-Length: 0\r\n\r\n");
             return true;
--- a/cli/src/main/java/garnetreel/cli/trial/soak/Trouble.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/Trouble.java
@@ -149,6 +149,13 @@
             world.servers.forEach(server -> server.proxy.lateConnections(200 + random.nextInt(1_500)));
         }
     },
+    CLIENTS_LEAVE_IN_A_BURST {
+        @Override
+        void play(SoakWorld world, SplittableRandom random) throws IOException {
+            CONNECTIONS_LATE.play(world, random);
+            world.heads.forEach(head -> head.clientsLeave(BURST_MILLIS));
+        }
+    },
     NETWORK_ROUGH {
         @Override
         void play(SoakWorld world, SplittableRandom random) throws IOException {
@@ -234,6 +241,7 @@
     };
 
     private static final int TERMINATION_CROSSES_MILLIS = 20;
+    private static final long BURST_MILLIS = 2_000;
 
     /** Plays it from begin to end. */
     abstract void play(SoakWorld world, SplittableRandom random) throws IOException;
