--- a/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
+++ b/core/src/main/java/garnetreel/core/platform/DiscoveryLink.java
@@ -105,8 +105,8 @@
         anyVersion = true;
         ListUpdate resolved = startTimes.resolve(known, now, currentAt);
         shelves.follow(resolved);
-        events.accept(resolved.news(ListKind.REMEMBERED));
         events.accept(new ListConfirmed(now));
+        events.accept(resolved.news(ListKind.REMEMBERED));
     }
 
     /** Subscribes to changes, or ends the subscription. One that is being opened, or stands, goes on. */
--- a/policy/src/main/java/garnetreel/policy/Control.java
+++ b/policy/src/main/java/garnetreel/policy/Control.java
@@ -63,7 +63,7 @@
     private static final long ASK_FIRST = 500_000;
     private static final long ASK_MOST = 2_600_000;
     /**
-     * A host that has a list at its start asks for a newer one within this time. Guards against a fleet that restarts and asks at
+     * A host that has a list at its start, and whose program says how current it is, asks for a newer one within this time. Guards against a fleet that restarts and asks at
      * once: discovery handles calls in turn, and nobody's turn comes once calls wait for too long.
      */
     private static final long ASK_SPREAD = 3_000_000;
@@ -382,7 +382,7 @@
             return;
         }
         if (news.kind() == ListKind.REMEMBERED) {
-            askAt = news.entries().isEmpty() ? now : now + random.nextLong(ASK_SPREAD);
+            askAt = news.entries().isEmpty() || !freshness.tracked() ? now : now + random.nextLong(ASK_SPREAD);
         } else {
             watching = true;
             askPause = ASK_FIRST;
--- a/policy/src/main/java/garnetreel/policy/ListFreshness.java
+++ b/policy/src/main/java/garnetreel/policy/ListFreshness.java
@@ -30,6 +30,11 @@
     private long confirmedAt = NEVER;
     private long movedAt = NEVER;
 
+    /** Whether the program says how current its list is. */
+    boolean tracked() {
+        return tracked;
+    }
+
     /** The list was current at this time. */
     void confirmed(long asOf) {
         tracked = true;
--- a/policy/src/test/java/garnetreel/policy/RulesTest.java
+++ b/policy/src/test/java/garnetreel/policy/RulesTest.java
@@ -9,7 +9,9 @@
 import garnetreel.policy.Scheduler.Arrived;
 import garnetreel.policy.Scheduler.Effect;
 import garnetreel.policy.Scheduler.Group;
+import garnetreel.policy.Scheduler.ListConfirmed;
 import garnetreel.policy.Scheduler.ListKind;
+import garnetreel.policy.Scheduler.NodeNews;
 import garnetreel.policy.Scheduler.NodeState;
 import garnetreel.policy.Scheduler.Outcome;
 import garnetreel.policy.Scheduler.Refuse;
@@ -243,8 +245,8 @@
     @Test
     void aRefusedSubscriptionIsAskedForAgain() {
         Bench bench = new Bench(Bench.settings());
-        bench.list(ListKind.REMEMBERED);
-        assertEquals(1, bench.actions.stream().filter(a -> a instanceof Watch).count(), "without a list it asks at once");
+        bench.list(ListKind.REMEMBERED, Bench.entry("n0", 0, NodeState.UP, 0));
+        assertEquals(1, bench.actions.stream().filter(a -> a instanceof Watch).count());
         bench.list(ListKind.REFUSED);
         bench.pass(10 * MS);
         assertEquals(1, bench.actions.stream().filter(a -> a instanceof Watch).count());
@@ -258,7 +260,7 @@
         int early = 0;
         for (int i = 0; i < 60; i++) {
             Bench bench = new Bench(Bench.settings(), i);
-            bench.list(ListKind.REMEMBERED, Bench.entry("n0", 0, NodeState.UP, 0));
+            bench.turn(new ListConfirmed(bench.now), new NodeNews(ListKind.REMEMBERED, List.of(Bench.entry("n0", 0, NodeState.UP, 0))));
             bench.pass(1 * SEC);
             early += (int) bench.actions.stream().filter(a -> a instanceof Watch).count();
             bench.pass(2 * SEC + 10 * MS);
