After a stall a turn that was queued ahead of it waits for the sockets, too

Traced through the test: start() and tell() each queue a turn; when the first one takes the order, stalls and asks for a turn behind the selection, the second, queued before, runs at once, ahead of the sockets, with the time after the stall. Change: Driver.wantedTurn looks whether the alarm is overdue by a stall's length; such a turn goes behind the selection like a timer's. The 10 ms are 1 ms again.

--- a/net/src/main/java/garnetreel/net/Driver.java
+++ b/net/src/main/java/garnetreel/net/Driver.java
@@ -76,11 +76,6 @@
     private static final int TURNS_AT_ONCE = 16;
     /** XNIO counts timers in whole milliseconds: a shorter one is a task, which runs before the selection. */
     private static final long YIELD_MILLIS = 1;
-    /**
-     * The same after a stall. XNIO looks for due timers once more ahead of its selection, so one of 1 ms comes ahead of the sockets
-     * wherever the way there takes longer than that, as on a machine that has just stalled.
-     */
-    private static final long YIELD_AFTER_STALL_MILLIS = 10;
     /**
      * A turn this late tells that the process stood still. Guards against ending what has come meanwhile: XNIO runs timers
      * before it selects, so a head that got no CPU for 250 ms dropped connections that stood and answers that lay there
@@ -135,6 +130,8 @@
     /** When the earliest timer that is set will call for a turn. */
     private long timerAt = Long.MAX_VALUE;
     private long lastTurn;
+    /** When the machine wanted its next turn as of its last. */
+    private long wakeAt = Long.MAX_VALUE;
     private boolean yielding;
     private boolean stopping;
     /** Listeners that have been ended and stay a little. */
@@ -206,12 +203,25 @@
 
     private void turnWanted() {
         try {
-            io.execute(this::turn);
+            io.execute(this::wantedTurn);
         } catch (RejectedExecutionException e) {
             log.debug("{} is closed", name);
         }
     }
 
+    /**
+     * A turn that was asked for; behind the selection if the process has stood still since. Guards against one that was queued ahead
+     * of the stall: it would come ahead of what lies in the sockets, as a timer would.
+     */
+    private void wantedTurn() {
+        boolean stalled = wakeAt > lastTurn && clock.micros() - wakeAt >= STALLED;
+        if (stalled) {
+            afterSelection();
+        } else {
+            turn();
+        }
+    }
+
     private void turn() {
         if (dead) {
             return;
@@ -221,7 +231,8 @@
             do {
                 oneTurn();
             } while (!dead && ++turns < TURNS_AT_ONCE && dueNow(machine.wakeAt()));
-            setTimer(machine.wakeAt());
+            wakeAt = machine.wakeAt();
+            setTimer(wakeAt);
         } catch (RuntimeException | Error e) {
             log.error("{} broke and ends", name, e);
             stopped.completeExceptionally(e);
@@ -264,7 +275,7 @@
             // Guards against a machine that always wants another turn: XNIO runs all tasks and timers that are due before
             // it selects, so such a one would never be told anything again (with a timer of 1 us a map service that asked
             // for turn after turn did not read a report for 2 s). One timer at a time, and not due before the selection.
-            afterSelection(now - wake < STALLED ? YIELD_MILLIS : YIELD_AFTER_STALL_MILLIS);
+            afterSelection();
         } else if (wake < timerAt && wake != Long.MAX_VALUE) {
             timerAt = wake;
             io.executeAfter(() -> {
@@ -274,20 +285,20 @@
                 if (clock.micros() - wake < STALLED) {
                     turn();
                 } else {
-                    afterSelection(YIELD_AFTER_STALL_MILLIS);
+                    afterSelection();
                 }
             }, wholeMillis(Math.min(LONGEST_WAIT, wake - now)), TimeUnit.MILLISECONDS);
         }
     }
 
     /** Gives a turn once sockets have been looked at. */
-    private void afterSelection(long millis) {
+    private void afterSelection() {
         if (!yielding) {
             yielding = true;
             io.executeAfter(() -> {
                 yielding = false;
                 turn();
-            }, millis, TimeUnit.MILLISECONDS);
+            }, YIELD_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
