At the bound of clients half a request is kept over connections that have said nothing

Traced: the test opens connections until the listener ends, hundreds on a busy machine; at the bound the oldest that counted as silent went, and a new connection counted as silent until its request was whole. Change: a connection on which half a request has come is in that state at once, with its time from when it was accepted; at the end of the process each of them has its 1 s from then.

--- a/core/src/main/java/garnetreel/core/platform/ClientFront.java
+++ b/core/src/main/java/garnetreel/core/platform/ClientFront.java
@@ -313,8 +313,10 @@
                     move(client, State.BUSY);
                     client.last = request.fields().holds("Connection", "close");
                     listener.request(client.conn, request, piece.came());
-                } else if (client.parser.begun() && (client.state == State.IDLE || draining && client.state == State.SILENT)) {
-                    move(client, State.BEGUN, draining ? now : client.halfSince);
+                } else if (client.parser.begun() && client.state != State.BEGUN) {
+                    // A new connection has its time from when it was accepted.
+                    long since = client.state == State.SILENT ? client.since : client.halfSince;
+                    move(client, State.BEGUN, draining ? now : since);
                 }
             }
         } catch (ProtocolException e) {
@@ -369,10 +371,8 @@
         while (closeFirst(State.IDLE)) {
             continue;
         }
-        for (Client client : List.copyOf(in(State.SILENT))) {
-            if (client.parser.begun()) {
-                move(client, State.BEGUN);
-            }
+        for (Client client : List.copyOf(in(State.BEGUN))) {
+            move(client, State.BEGUN);
         }
     }
 
--- a/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformHeadTest.java
@@ -302,6 +302,21 @@
         assertEquals(1, rig.told(Arrived.class).size());
     }
 
+    /** At the bound those go first that have said nothing: the oldest of all may be one that writes its request slowly. */
+    @Test
+    void halfARequestIsKeptOverSilentConnections() throws JsonException {
+        Rig rig = new Rig(256, (now, told) -> told.stream().flatMap(e -> toShelf(e).stream()).toList());
+        String request = Rig.request(ID, "");
+        rig.accept(1).receive(1, request.substring(0, 60));
+        for (long conn = 2; conn <= 400; conn++) {
+            rig.accept(conn);
+        }
+        rig.pass(30_000);
+        assertFalse(rig.closed.contains(1L));
+        rig.receive(1, request.substring(60));
+        assertEquals(1, rig.told(Arrived.class).size());
+    }
+
     @Test
     void aClientThatReadsNothingHoldsOneAnswer() throws JsonException {
         Rig rig = out("");
