--- a/core/src/main/java/garnetreel/core/platform/ClientFront.java
+++ b/core/src/main/java/garnetreel/core/platform/ClientFront.java
@@ -173,7 +173,10 @@
         if (silent != null && now - silent.since >= NEW_FOR) {
             return silent;
         }
-        return first(State.IDLE) != null ? first(State.IDLE) : first(State.BEGUN);
+        if (first(State.IDLE) != null) {
+            return first(State.IDLE);
+        }
+        return silent != null ? null : first(State.BEGUN); // one that is new now may go in a moment
     }
 
     private Client first(State state) {
