--- a/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/FaultProxy.java
@@ -22,8 +22,8 @@
     /** Connections that fill the listener's queue, so that further ones do not come up; the system tries those again after 1 s. */
     private static final int FILLERS = BACKLOG + 3;
     private static final int FILLER_MILLIS = 20;
-    /** The system goes on trying to complete handshakes for about so long after the queue was full. */
-    private static final long HANDSHAKE_NANOS = 4_000_000_000L;
+    /** The system goes on trying to complete handshakes, and sends first bytes again, for about so long after the queue was full. */
+    private static final long HANDSHAKE_NANOS = 10_000_000_000L;
     /** How well it is known when bytes left the head, worst first. */
     enum Certainty {
         /** They had come before the connection was accepted, which may have been long before. */
