--- a/cli/src/main/java/garnetreel/cli/trial/soak/RequestLedger.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/RequestLedger.java
@@ -39,6 +39,8 @@
         final byte[] body;
         final long sentAt;
         final long deadline;
+        /** Whether it is the first on its connection. */
+        final boolean first;
         final List<Attempt> attempts = new ArrayList<>(1);
         final List<Long> runs = new ArrayList<>(1);
         final List<String> made = new ArrayList<>(1);
@@ -46,8 +48,9 @@
         int status;
         long leftAt = Long.MAX_VALUE;
 
-        Request(String id, Effect effect, String head, byte[] body, long sentAt, long deadline) {
+        Request(String id, Effect effect, String head, byte[] body, long sentAt, long deadline, boolean first) {
             this.id = id;
+            this.first = first;
             this.effect = effect;
             this.head = head;
             this.body = body;
@@ -165,7 +168,9 @@
             }
             double over = attempt.timeLeft() - (request.deadline - attempt.firstByteAt()) / 1e9;
             if (attempt.timed() && over > 0.15 + slack / 1e9) {
-                all.add(Violation.timed(Kind.TIME_LEFT, name + "told " + attempt.server() + " " + over + " s too many"));
+                all.add(Violation.timed(Kind.TIME_LEFT, name + "told " + attempt.server() + " " + over + " s too many: "
+                        + attempt.timeLeft() + " s, " + (attempt.firstByteAt() - request.sentAt) / 1_000_000 + " ms after it was sent as the "
+                        + (request.first ? "first" : "next") + " of its connection"));
             }
         }
     }
--- a/cli/src/main/java/garnetreel/cli/trial/soak/SoakClient.java
+++ b/cli/src/main/java/garnetreel/cli/trial/soak/SoakClient.java
@@ -101,7 +101,7 @@
                     Threads.pause(random.nextInt(300));
                 }
                 long sentAt = System.nanoTime();
-                Request request = new Request(id, effect, head.name, body, sentAt, sentAt + (long) (seconds * 1e9));
+                Request request = new Request(id, effect, head.name, body, sentAt, sentAt + (long) (seconds * 1e9), fresh);
                 ledger.asked(request);
                 OutputStream out = socket.getOutputStream();
                 out.write(message, slow ? message.length / 2 : 0, message.length - (slow ? message.length / 2 : 0));
