--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -1,25 +1,19 @@
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
+import java.io.InputStream;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import review2.Nbd;
-import review2.Service;
+import review2.Platform;
 
 /**
- * Clients send the head of a write of 32 MiB and nothing more, and stay. Another client, which was connected before,
- * then reads one block. Without trouble these clients connect and say nothing.
+ * One client has a hundred reads for an idle head, 2.5 s each, on one connection. It sends them at once; without trouble
+ * one after the other. The shelf answers at once.
  */
-public final class Case10 extends Service {
-    private static final int BAD_CLIENTS = 60;
-    private static final int WAIT_SECONDS = 40;
+public final class Case10 extends Platform {
+    private static final int REQUESTS = 100;
+    private static final double TIME_LEFT = 2.5;
+    /** Half a second after its time a request is lost; and 50 ms, by which all limits of time are longer. */
+    private static final long LOST_AFTER_MILLIS = 2500 + 500 + 50;
 
     public static void main(String[] arguments) throws Exception {
         new Case10().main();
@@ -27,74 +21,81 @@
 
     @Override
     protected boolean run() throws Exception {
-        startService("");
-        byte[] entry = contents("register of births", 4096);
-        Nbd client = closing(new Nbd(record, nbdPort, "births"));
-        if (client.write(0, entry, true) != 0 || !Arrays.equals(client.read(0, 4096), entry)) {
-            throw new IllegalStateException("the service does not serve");
-        }
-        List<Socket> bad = new ArrayList<>();
-        for (int i = 0; i < BAD_CLIENTS; i++) {
-            bad.add(closing(badClient()));
+        list("s-1", serve("shelf", this::shelf), 0, "up");
+        startHead();
+        try (Socket socket = connect()) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            long slowest = 0;
+            for (int i = 0; i < 3 * REQUESTS; i++) {
+                long begin = record.millis();
+                send(socket, request(i));
+                if (read(in) == null) {
+                    throw new IllegalStateException("the head ends connections");
+                }
+                slowest = Math.max(slowest, record.millis() - begin);
+            }
+            record.line("client: %d reads one after the other, the slowest answered after %d ms", 3 * REQUESTS, slowest);
         }
-        record.line("%d clients are connected%s", bad.size(), trouble ? " and have sent half a request" : "");
-        Thread.sleep(3500); // they are owed an error or a close by now
-        int ended = 0;
-        for (Socket socket : bad) {
-            socket.setSoTimeout(1);
-            try {
-                socket.getInputStream().read();
-                ended++;
-            } catch (SocketTimeoutException e) {
-                // neither an error nor a close
+        int lost = trouble ? atOnce() : oneByOne();
+        record.line("client: %d of %d reads lost", lost, REQUESTS);
+        return lost == 0;
+    }
+
+    private int atOnce() throws IOException {
+        try (Socket socket = connect()) {
+            socket.setSoTimeout(30_000);
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            for (int i = 0; i < REQUESTS; i++) {
+                all.writeBytes(request(1000 + i));
             }
+            long sent = record.millis();
+            send(socket, all.toByteArray());
+            record.line("client: sent %d reads at once, %d bytes", REQUESTS, all.size());
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            int lost = 0;
+            for (int i = 0; i < REQUESTS; i++) {
+                lost += judge(i, read(in), record.millis() - sent);
+            }
+            return lost;
         }
-        record.line("%d of them have got an error or a close", ended);
-        record.line("nbd client: asks for the entry; the class's deadline is 2.5 s");
-        long begin = record.millis();
-        CompletableFuture<Boolean> answered = CompletableFuture.supplyAsync(() -> {
-            try {
-                client.read(0, 4096);
-                return true;
-            } catch (IOException e) {
-                record.line("nbd client: %s", e);
-                return false;
+    }
+
+    private int oneByOne() throws IOException {
+        try (Socket socket = connect()) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            int lost = 0;
+            for (int i = 0; i < REQUESTS; i++) {
+                long sent = record.millis();
+                send(socket, request(1000 + i));
+                lost += judge(i, read(in), record.millis() - sent);
             }
-        });
-        try {
-            boolean held = answered.get(WAIT_SECONDS, TimeUnit.SECONDS);
-            record.line("nbd client: %s after %d ms", held ? "answer" : "no answer", record.millis() - begin);
-            return held;
-        } catch (TimeoutException e) {
-            record.line("nbd client: no answer within %d s; the gateway %s", WAIT_SECONDS,
-                    gateway.isAlive() ? "is alive" : "has ended with " + gateway.exitValue());
-            return false;
+            return lost;
         }
     }
 
-    private Socket badClient() throws Exception {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), nbdPort);
-        DataInputStream in = new DataInputStream(socket.getInputStream());
-        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
-        in.readLong();
-        in.readLong();
-        in.readUnsignedShort();
-        out.writeInt(3);
-        out.writeLong(0x49484156454F5054L);
-        out.writeInt(1);
-        out.writeInt(6);
-        out.write("births".getBytes());
-        in.readLong();
-        in.readUnsignedShort();
-        if (trouble) {
-            out.writeInt(0x25609513);
-            out.writeShort(0);
-            out.writeShort(1);
-            out.writeLong(7);
-            out.writeLong(1 << 20);
-            out.writeInt(32 << 20);
+    /** Any answer in time is right, a refusal too. */
+    private int judge(int number, Message answer, long millis) {
+        boolean lost = answer == null || millis > LOST_AFTER_MILLIS;
+        record.line("client: read %d: %s after %d ms%s", number, answer == null ? "closed" : answer.startLine(), millis,
+                lost ? ", lost" : "");
+        return lost ? 1 : 0;
+    }
+
+    private static byte[] request(int number) {
+        return readRequest(String.format("%016x", number + 1), TIME_LEFT);
+    }
+
+    private static void send(Socket socket, byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+    }
+
+    private void shelf(Socket socket) throws Exception {
+        BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
+        Message request;
+        while ((request = read(in)) != null) {
+            String body = "made for " + request.fields().get("X-Correlation-Id");
+            socket.getOutputStream().write(
+                    ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes());
         }
-        out.flush();
-        return socket;
     }
 }
