--- a/review/standins-2/review2/Record.java
+++ b/review/standins-2/review2/Record.java
@@ -22,7 +22,8 @@
     }
 
     public synchronized void line(String format, Object... arguments) {
-        String text = arguments.length == 0 ? format : String.format(Locale.ROOT, format, arguments);
+        String text = (arguments.length == 0 ? format : String.format(Locale.ROOT, format, arguments))
+                .replaceAll("[^ -~]", ".");
         long ms = millis();
         out.printf(Locale.ROOT, "%3d.%03d %s%n", ms / 1000, ms % 1000, text);
     }
