Review case 6: the second office pushes a second after the first, for slower machines

Need: the first office's list has to be read before the second office's push is stored, also on a slower machine. Done: a pause of 1 s in place of 0.5 s.

--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -49,7 +49,7 @@
 
         CompletableFuture<Boolean> first = office("office 1", folder(files, 0640));
         await(first);
-        Thread.sleep(trouble ? 500 : 0);
+        Thread.sleep(trouble ? 1000 : 0); // its list is read, and most of its changes are queued
         CompletableFuture<Boolean> second = office("office 2", List.of(new File("register", 0644, 2000, changed)));
         await(second);
         awaitWritten(changed);
