Review case 6: more files in the folder, so that its changes last some seconds

Need: on a busy machine the changes of the folder lasted 2.3 s, the two other pushes came within 1.1 s. Done: the folder is made for 14 s of changes by the time that its first push takes, in place of 8 s.

--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -15,7 +15,7 @@
 public final class Case6 extends Service {
     private static final int LENGTH = 64 << 10;
     /** How long the journal shall be busy with the first push, estimated from the push that made the folder. */
-    private static final int BUSY_MILLIS = 8000;
+    private static final int BUSY_MILLIS = 14_000;
     private static final int FIRST_FILES = 1000;
     private static final int MOST_FILES = 150_000;
 
