Pushes build their changes on planned entries; each block has one checked owner

Cause: a push compared with the visible entries of the catalogue, without the changes whose records were not durable yet, and committed copies of entries that a queued change had replaced or removed. The copy brought freed blocks back.

Change: Catalogue.plan builds each change on all planned ones, and what decides on changes looks at planned entries. VolumeSpace holds the owner of each block and checks every transition. A push is confirmed after all changes queued before it, also if it found its files unchanged in one of them.

--- a/core/src/main/java/garnetreel/core/server/rsync/FileCatalogueStore.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/FileCatalogueStore.java
@@ -29,18 +29,19 @@
         public static final StoredCatalogue EMPTY = new StoredCatalogue(null, List.of());
     }
 
-    private record PendingCommit(FileChange change, Runnable done) {}
+    /** Something that waits until the changes up to a sequence number are visible. */
+    private record DurabilityWaiter(long seq, Runnable done) {}
 
     private record DelayedRelease(long until, String module, List<Piece> pieces) {}
 
     private final Catalogue catalogue;
     private final Map<String, Volume> volumes = new HashMap<>();
-    private final ArrayDeque<PendingCommit> pendingCommits = new ArrayDeque<>();
+    private final ArrayDeque<FileChange> pendingChanges = new ArrayDeque<>();
+    private final ArrayDeque<DurabilityWaiter> durabilityWaiters = new ArrayDeque<>();
     private final ArrayDeque<DelayedRelease> delayedReleases = new ArrayDeque<>();
     private final long longestTimeLimit;
     private List<NetAction> actions = new ArrayList<>();
     private long now;
-    private long lastSeq;
     private long nextSnapshotSeq;
 
     /** Restores the catalogue from the stored snapshot and records. */
@@ -56,8 +57,7 @@
             moduleVolumes.add(new Catalogue.ModuleVolume(module.name(), volume.id(), volume.size()));
         }
         catalogue = new Catalogue(moduleVolumes, stored.snapshot(), stored.records());
-        lastSeq = catalogue.seq();
-        nextSnapshotSeq = lastSeq + SNAPSHOT_INTERVAL;
+        nextSnapshotSeq = catalogue.seq() + SNAPSHOT_INTERVAL;
         longestTimeLimit = settings.scheduling().classes().stream()
                 .mapToLong(c -> c.timeLimit())
                 .max()
@@ -70,7 +70,7 @@
         actions = turnActions;
     }
 
-    /** The catalogue, without changes that are not yet durable. */
+    /** The catalogue; its visible entries are without changes that are not yet durable. */
     public Catalogue catalogue() {
         return catalogue;
     }
@@ -79,22 +79,34 @@
         return volumes.get(module);
     }
 
-    /** Makes a change durable, then visible, then runs {@code done}. Changes take effect in the order of the calls. */
-    void commit(List<FileChange.Name> removed, List<FileEntry> changed, Runnable done) {
-        FileChange change = catalogue.change(lastSeq, removed, changed);
-        lastSeq = change.seq();
-        pendingCommits.add(new PendingCommit(change, done));
+    /** Makes a change durable, then visible. Changes take effect in the order of the calls. */
+    void commit(List<FileChange.Name> removed, List<FileEntry> changed) {
+        FileChange change = catalogue.plan(removed, changed);
+        pendingChanges.add(change);
         actions.add(new NetAction.Append(change.seq(), change.encode()));
     }
 
+    /**
+     * Runs {@code done} once all changes committed so far are durable and visible. Whoever confirms what it decided from
+     * {@link Catalogue#planned planned} entries, for example that a file needs no change, has to wait for that.
+     */
+    void whenAllDurable(Runnable done) {
+        if (pendingChanges.isEmpty()) {
+            done.run();
+        } else {
+            durabilityWaiters.add(new DurabilityWaiter(catalogue.lastPlannedSeq(), done));
+        }
+    }
+
     /** All records up to this sequence number are durable. */
     public void appended(long seq) {
-        while (!pendingCommits.isEmpty() && pendingCommits.peek().change().seq() <= seq) {
-            PendingCommit commit = pendingCommits.poll();
-            catalogue.apply(commit.change());
-            commit.done().run();
+        while (!pendingChanges.isEmpty() && pendingChanges.peek().seq() <= seq) {
+            catalogue.apply(pendingChanges.poll());
+        }
+        while (!durabilityWaiters.isEmpty() && durabilityWaiters.peek().seq() <= catalogue.seq()) {
+            durabilityWaiters.poll().done().run();
         }
-        if (pendingCommits.isEmpty() && catalogue.seq() >= nextSnapshotSeq) {
+        if (pendingChanges.isEmpty() && catalogue.seq() >= nextSnapshotSeq) {
             nextSnapshotSeq = catalogue.seq() + Math.max(SNAPSHOT_INTERVAL, catalogue.size());
             actions.add(new NetAction.Snapshot(catalogue.seq(), catalogue.snapshot(), RETAINED_RECORDS));
         }
--- a/core/src/main/java/garnetreel/core/server/rsync/FileReceiver.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/FileReceiver.java
@@ -18,7 +18,8 @@
 
 /**
  * The receiver and generator of a push: reads the client's file list, requests the files that differ from those of the
- * module, and makes each file visible as a whole once its contents are durable and match their checksum.
+ * module, and makes each file visible as a whole once its contents are durable and match their checksum. It compares
+ * with the planned entries of the catalogue, which include the changes of other pushes that are not durable yet.
  */
 final class FileReceiver implements Transfer {
     /** Maximum number of files requested but not completely received. */
@@ -60,7 +61,8 @@
     /** Number of phases whose end has been sent to the client. */
     private int phaseEndsSent;
 
-    private int pendingCommits;
+    private boolean awaitsDurability;
+    private boolean allDurable;
     private final Map<Integer, FileRequest> outstanding = new HashMap<>();
     private final ArrayDeque<Integer> redo = new ArrayDeque<>();
     private final Set<Integer> retried = new HashSet<>();
@@ -119,7 +121,7 @@
     private void completeList() throws ProtocolException {
         items = fileList.takeItems();
         String directory = target.directory();
-        FileEntry destination = directory.isEmpty() ? null : catalogue.get(module.name(), directory);
+        FileEntry destination = directory.isEmpty() ? null : catalogue.planned(module.name(), directory);
         boolean singleFile = items.size() == 1 && !items.get(0).isDirectory();
         if (destination != null && !destination.isDirectory() && !singleFile) {
             throw new ProtocolException("the destination \"" + FileNames.printable(directory) + "\" is no directory");
@@ -166,7 +168,7 @@
             return;
         }
         List<FileEntry> removed = new ExtraneousEntries(target, fileList.filters(), options.deleteExcluded, items)
-                .among(catalogue.entriesBelow(module.name(), target.directory()));
+                .among(catalogue.plannedBelow(module.name(), target.directory()));
         if (options.verbose > 0) {
             removed.forEach(entry -> session.sendMessage(
                     Rsync.DELETED, target.relativePath(entry.path()) + (entry.isDirectory() ? "\0" : "")));
@@ -183,11 +185,7 @@
     }
 
     private void commit(List<FileChange.Name> removed, List<FileEntry> changed) {
-        pendingCommits++;
-        session.server.files.commit(removed, changed, () -> {
-            pendingCommits--;
-            session.pump();
-        });
+        session.server.files.commit(removed, changed);
     }
 
     // ---------------------------------------------------------------- generator
@@ -225,7 +223,7 @@
     }
 
     private void requestIfChanged(int index, FileItem item) {
-        FileEntry old = catalogue.get(module.name(), target.path(item));
+        FileEntry old = catalogue.planned(module.name(), target.path(item));
         FileEntry oldFile = old != null && old.isRegularFile() ? old : null;
         if (options.existing && old == null
                 || options.ignoreExisting && old != null
@@ -387,7 +385,7 @@
             }
         } else {
             String path = target.path(item);
-            FileEntry old = catalogue.get(module.name(), path);
+            FileEntry old = catalogue.planned(module.name(), path);
             commit(
                     entriesReplacedBy(old),
                     List.of(new FileEntry(
@@ -405,12 +403,22 @@
 
     /** The entries to remove when a file replaces a directory: all that it contains. */
     private List<FileChange.Name> entriesReplacedBy(FileEntry old) {
-        return old == null || !old.isDirectory() ? List.of() : names(catalogue.entriesBelow(module.name(), old.path()));
+        return old == null || !old.isDirectory() ? List.of() : names(catalogue.plannedBelow(module.name(), old.path()));
     }
 
-    /** Sends the goodbye once all files are durable and visible. */
+    /**
+     * Sends the goodbye once all files are durable and visible, also those that this push found unchanged in a change of
+     * another one.
+     */
     private boolean sendGoodbye() {
-        if (pendingCommits > 0) {
+        if (!awaitsDurability) {
+            awaitsDurability = true;
+            session.server.files.whenAllDurable(() -> {
+                allDurable = true;
+                session.pump();
+            });
+        }
+        if (!allDurable) {
             return false;
         }
         session.out.index(Rsync.PHASE_END);
--- a/core/src/main/java/garnetreel/core/server/rsync/PushedDirectories.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/PushedDirectories.java
@@ -47,7 +47,7 @@
     /** Adds a directory or symbolic link of the client, if it differs from what is stored. */
     void add(FileItem item) {
         String path = target.path(item);
-        FileEntry old = catalogue.get(target.module(), path);
+        FileEntry old = catalogue.planned(target.module(), path);
         if (options.existing && old == null) {
             return;
         }
@@ -83,7 +83,7 @@
         if (addedPaths.contains(path)) {
             return true;
         }
-        FileEntry stored = catalogue.get(target.module(), path);
+        FileEntry stored = catalogue.planned(target.module(), path);
         return stored != null && stored.isDirectory();
     }
 }
--- a/files/src/main/java/garnetreel/files/Catalogue.java
+++ b/files/src/main/java/garnetreel/files/Catalogue.java
@@ -6,12 +6,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 /**
  * The files of a gateway's modules and the space that they occupy on the modules' volumes. Without I/O: the owner makes
  * a change durable as a journal record before it applies the change, and stores snapshots.
  *
+ * <p>A change passes two steps. {@link #plan} builds it on top of all changes planned before, and assigns the blocks of
+ * new contents; {@link #apply} makes it visible once it is durable. Whatever decides on a change has to look at
+ * {@link #planned} entries: a change that was built on the visible ones would undo those that are planned and not yet
+ * durable. What clients are shown are the visible entries, {@link #get}.
+ *
  * <p>Space for contents that are being written is reserved in memory only. A crash releases it, since recovery takes
  * all space as free that no entry occupies. A version that is being read keeps its space until its last reader closes
  * it.
@@ -26,8 +32,18 @@
      */
     public record ModuleVolume(String module, long volume, long size) {}
 
+    /**
+     * What a planned change makes of a name.
+     *
+     * @param seq sequence number of the change
+     * @param entry the new entry; null if the name is removed
+     */
+    private record PlannedEntry(long seq, FileEntry entry) {}
+
     private final TreeMap<Name, FileEntry> entries = new TreeMap<>();
-    private final Map<String, FreeSpace> freeSpace = new HashMap<>();
+    private final Map<String, VolumeSpace> spaces = new HashMap<>();
+    /** The latest planned and not yet applied change of each name. */
+    private final TreeMap<Name, PlannedEntry> plannedEntries = new TreeMap<>();
     /** Number of readers, by version. */
     private final Map<Long, Integer> readers = new HashMap<>();
     /** Entries that were replaced or removed while they were read and still occupy their space, by version. */
@@ -36,6 +52,7 @@
     private final Map<Long, Long> successors = new HashMap<>();
 
     private long seq;
+    private long lastPlannedSeq;
     private long lastVersion;
 
     /**
@@ -53,12 +70,13 @@
             decoded.entries().forEach(entry -> entries.put(entry.name(), entry));
         }
         records.forEach(record -> replay(FileChange.decode(record)));
-        modules.forEach(module -> freeSpace.put(module.module(), new FreeSpace(module.size())));
+        lastPlannedSeq = seq;
+        modules.forEach(module -> spaces.put(module.module(), new VolumeSpace(module.size())));
         for (FileEntry entry : entries.values()) {
             lastVersion = Math.max(lastVersion, entry.version());
-            FreeSpace space = freeSpace.get(entry.module());
+            VolumeSpace space = spaces.get(entry.module());
             if (space != null) { // entries of a module that was removed from the settings are kept
-                entry.pieces().forEach(space::markAllocated);
+                entry.pieces().forEach(space::assignStored);
             }
         }
     }
@@ -75,49 +93,90 @@
         }
     }
 
-    /** The entry with a name; null if there is none. */
+    /** The visible entry with a name; null if there is none. */
     public FileEntry get(String module, String path) {
         return entries.get(new Name(module, path));
     }
 
-    /** All entries of a module below a path, without the entry at the path itself; "" is the module's root. */
+    /** The entry with a name after all planned changes; null if there is none. */
+    public FileEntry planned(String module, String path) {
+        Name name = new Name(module, path);
+        PlannedEntry planned = plannedEntries.get(name);
+        return planned == null ? entries.get(name) : planned.entry();
+    }
+
+    /**
+     * All visible entries of a module below a path, without the entry at the path itself; "" is the module's root.
+     */
     public List<FileEntry> entriesBelow(String module, String path) {
-        String prefix = path.isEmpty() ? "" : path + "/";
-        List<FileEntry> found = new ArrayList<>();
-        for (FileEntry entry : entries.tailMap(new Name(module, prefix), true).values()) {
-            if (!entry.module().equals(module) || !entry.path().startsWith(prefix)) {
-                break;
+        return List.copyOf(below(entries, module, path).values());
+    }
+
+    /** As {@link #entriesBelow}, after all planned changes. */
+    public List<FileEntry> plannedBelow(String module, String path) {
+        SortedMap<Name, PlannedEntry> planned = below(plannedEntries, module, path);
+        if (planned.isEmpty()) {
+            return entriesBelow(module, path);
+        }
+        TreeMap<Name, FileEntry> found = new TreeMap<>(below(entries, module, path));
+        planned.forEach((name, change) -> {
+            if (change.entry() == null) {
+                found.remove(name);
+            } else {
+                found.put(name, change.entry());
             }
-            found.add(entry);
+        });
+        return List.copyOf(found.values());
+    }
+
+    private static <V> SortedMap<Name, V> below(TreeMap<Name, V> names, String module, String path) {
+        if (path.isEmpty()) {
+            return names.subMap(new Name(module, ""), new Name(module + '\0', ""));
         }
-        return found;
+        // The character after the slash, so that the range ends before the first path that does not begin with it.
+        return names.subMap(new Name(module, path + "/"), new Name(module, path + "0"));
     }
 
     /** Reserves space for contents on a module's volume; null if it has not enough free space. */
     public List<Piece> reserve(String module, long length) {
-        return freeSpace.get(module).allocate(length);
+        return spaces.get(module).reserve(length);
     }
 
     /** Frees reserved space that is not used. */
     public void release(String module, List<Piece> pieces) {
-        pieces.forEach(freeSpace.get(module)::free);
+        pieces.forEach(spaces.get(module)::release);
     }
 
     /** Number of free bytes on a module's volume. */
     public long free(String module) {
-        return freeSpace.get(module).freeBytes();
+        return spaces.get(module).freeBytes();
     }
 
     /**
-     * Builds a change, which is to be made durable and then {@link #apply applied}, and gives its entries their
-     * versions.
+     * Builds the change that follows all planned ones, gives its entries their versions and assigns the space of new
+     * contents to them. It is to be made durable and then {@link #apply applied}.
      *
-     * @param after sequence number of the preceding change
+     * @throws IllegalStateException if an entry names blocks that are neither reserved nor those of the planned entry
+     *     with the same name; nothing is planned then
      */
-    public FileChange change(long after, List<Name> removed, List<FileEntry> put) {
+    public FileChange plan(List<Name> removed, List<FileEntry> put) {
         List<FileEntry> versioned = new ArrayList<>();
-        put.forEach(entry -> versioned.add(entry.withVersion(++lastVersion)));
-        return new FileChange(after + 1, removed, versioned);
+        for (FileEntry entry : put) {
+            assignSpace(entry);
+            versioned.add(entry.withVersion(++lastVersion));
+        }
+        FileChange change = new FileChange(++lastPlannedSeq, removed, versioned);
+        removed.forEach(name -> plannedEntries.put(name, new PlannedEntry(change.seq(), null)));
+        versioned.forEach(entry -> plannedEntries.put(entry.name(), new PlannedEntry(change.seq(), entry)));
+        return change;
+    }
+
+    private void assignSpace(FileEntry entry) {
+        FileEntry current = planned(entry.module(), entry.path());
+        boolean keepsContents = current != null && current.pieces().equals(entry.pieces());
+        if (!keepsContents) {
+            spaces.get(entry.module()).assign(entry.pieces());
+        }
     }
 
     /** Applies a durable change. The space of replaced and removed entries is freed once they have no readers. */
@@ -127,12 +186,14 @@
         }
         seq = change.seq();
         for (Name name : change.removed()) {
+            forgetPlanned(name);
             FileEntry old = entries.remove(name);
             if (old != null) {
                 unlink(old);
             }
         }
         for (FileEntry entry : change.put()) {
+            forgetPlanned(entry.name());
             FileEntry old = entries.put(entry.name(), entry);
             if (old != null) {
                 replace(old, entry);
@@ -140,6 +201,14 @@
         }
     }
 
+    /** Removes the planned entry of a name if it is that of the change just applied, and not of a later one. */
+    private void forgetPlanned(Name name) {
+        PlannedEntry planned = plannedEntries.get(name);
+        if (planned != null && planned.seq() == seq) {
+            plannedEntries.remove(name);
+        }
+    }
+
     private void replace(FileEntry old, FileEntry replacement) {
         if (old.pieces().isEmpty() || !old.pieces().equals(replacement.pieces())) {
             unlink(old);
@@ -158,8 +227,9 @@
     }
 
     private void free(FileEntry entry) {
-        if (freeSpace.containsKey(entry.module())) {
-            release(entry.module(), entry.pieces());
+        VolumeSpace space = spaces.get(entry.module());
+        if (space != null) {
+            entry.pieces().forEach(space::free);
         }
     }
 
@@ -189,11 +259,16 @@
         }
     }
 
-    /** Sequence number of the last change. */
+    /** Sequence number of the last change that is visible. */
     public long seq() {
         return seq;
     }
 
+    /** Sequence number of the last change that is planned. */
+    public long lastPlannedSeq() {
+        return lastPlannedSeq;
+    }
+
     /** Number of entries in all modules. */
     public int size() {
         return entries.size();
--- a/files/src/main/java/garnetreel/files/FileEntry.java
+++ b/files/src/main/java/garnetreel/files/FileEntry.java
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /**
- * One version of a file, directory or symbolic link. Immutable: {@link Catalogue#change} creates copies with higher
+ * One version of a file, directory or symbolic link. Immutable: {@link Catalogue#plan} creates copies with higher
  * versions.
  *
  * @param module module that contains it
@@ -39,12 +39,12 @@
     /** A contiguous range of a volume, in bytes. */
     public record Piece(long offset, long length) {}
 
-    /** Creates an entry for a directory with version 0; {@link Catalogue#change} creates a copy that has one. */
+    /** Creates an entry for a directory with version 0; {@link Catalogue#plan} creates a copy that has one. */
     public static FileEntry directory(String module, String path, int mode, long modified) {
         return new FileEntry(module, path, 0, DIRECTORY | mode & 07777, 0, modified, new byte[0], List.of(), "");
     }
 
-    /** Creates an entry for a symbolic link with version 0; {@link Catalogue#change} creates a copy that has one. */
+    /** Creates an entry for a symbolic link with version 0; {@link Catalogue#plan} creates a copy that has one. */
     public static FileEntry link(String module, String path, int mode, long modified, String target) {
         return new FileEntry(module, path, 0, mode, target.length(), modified, new byte[0], List.of(), target);
     }
--- a/files/src/test/java/garnetreel/files/CatalogueTest.java
+++ b/files/src/test/java/garnetreel/files/CatalogueTest.java
@@ -30,7 +30,7 @@
     }
 
     private void commit(List<Name> removed, List<FileEntry> put) {
-        FileChange change = catalogue.change(catalogue.seq(), removed, put);
+        FileChange change = catalogue.plan(removed, put);
         journal.add(change.encode());
         catalogue.apply(FileChange.decode(change.encode()));
     }
@@ -141,4 +141,34 @@
                         .toList());
         assertEquals(4, catalogue.entriesBelow("pages", "").size());
     }
+
+    /** Each block has one owner: a change that names the blocks of another entry, or free ones, is not planned. */
+    @Test
+    void changesThatNameBlocksWithAnotherOwnerAreRefused() {
+        FileEntry old = put(file("a", 10_000));
+        put(file("a", 20_000)); // frees the blocks of the old version
+        long seq = catalogue.lastPlannedSeq();
+        FileEntry stale = old.withAttributes(0100600, 99);
+        assertThrows(IllegalStateException.class, () -> catalogue.plan(List.of(), List.of(stale)));
+        catalogue.reserve("pages", 10_000);
+        catalogue.release("pages", old.pieces());
+        assertThrows(IllegalStateException.class, () -> catalogue.release("pages", old.pieces()));
+        assertEquals(seq, catalogue.lastPlannedSeq(), "a refused change was planned");
+    }
+
+    /** What is planned is seen by the next change, and not by readers. */
+    @Test
+    void plannedChangesAreVisibleToTheNextChangeOnly() {
+        FileEntry old = put(file("a", 10));
+        FileChange removal = catalogue.plan(List.of(new Name("pages", "a")), List.of(file("d/x", 10)));
+        assertNull(catalogue.planned("pages", "a"));
+        assertEquals(1, catalogue.plannedBelow("pages", "").size());
+        assertEquals(List.of(old), catalogue.entriesBelow("pages", ""));
+        FileChange again = catalogue.plan(List.of(), List.of(file("a", 20)));
+        catalogue.apply(removal);
+        assertNull(catalogue.get("pages", "a"));
+        assertEquals(20, catalogue.planned("pages", "a").size());
+        catalogue.apply(again);
+        assertEquals(20, catalogue.get("pages", "a").size());
+    }
 }
