A flush after a restart of the gateway asks every shard that may hold writes

Cause: the shards with unflushed writes were known in the memory of the process only. A new process had none, and a flush with no shard to ask ends as served.

Change: until a flush of a volume was sent to all of its shards, UnflushedWrites takes each of them as one with unflushed writes, and refuses to name fewer. The incarnations that were written to are stored, so that a flush fails if a node lost a write of an earlier process. What an earlier process stored is one record, StoredState.

Why this works: the set of shards asked first is a superset of those written to by any earlier process, since writes go to shards of the placement or of the map only.

--- a/cli/src/main/java/garnetreel/cli/GatewayState.java
+++ b/cli/src/main/java/garnetreel/cli/GatewayState.java
@@ -1,7 +1,9 @@
 package garnetreel.cli;
 
+import garnetreel.core.StoredState;
 import garnetreel.core.connection.MapServiceClient;
 import garnetreel.core.connection.NodeListClient;
+import garnetreel.core.request.RequestRegistry;
 import garnetreel.core.server.rsync.FileCatalogueStore.StoredCatalogue;
 import garnetreel.net.BackgroundStoreWriter;
 import garnetreel.store.Journal;
@@ -12,17 +14,15 @@
 /**
  * The stored state that a gateway instance starts from, read from its state directory.
  *
- * @param nodeList the cached node list; null for none
- * @param maps the cached extent maps; null for none
- * @param files its file catalogue
+ * @param stored the state
  * @param writer stores later states in the directory; null for an instance without one
  */
-record GatewayState(byte[] nodeList, byte[] maps, StoredCatalogue files, BackgroundStoreWriter writer) {
+record GatewayState(StoredState stored, BackgroundStoreWriter writer) {
     /** File name of the file catalogue's journal. */
     static final String FILES_JOURNAL = "files.journal";
 
     /** The state of an instance without a state directory. */
-    static final GatewayState NONE = new GatewayState(null, null, StoredCatalogue.EMPTY, null);
+    static final GatewayState NONE = new GatewayState(StoredState.NONE, null);
 
     /**
      * Reads a state directory and starts its writer.
@@ -33,6 +33,8 @@
         StateDirectory directory = new StateDirectory(path);
         byte[] nodeList = directory.read(NodeListClient.CACHE_NAME).orElse(null);
         byte[] maps = directory.read(MapServiceClient.CACHE_NAME).orElse(null);
+        byte[] unflushedWrites =
+                directory.read(RequestRegistry.UNFLUSHED_WRITES_NAME).orElse(null);
         StoredCatalogue files = StoredCatalogue.EMPTY;
         Journal journal = null;
         if (servesFiles) {
@@ -40,6 +42,7 @@
             Journal.Contents contents = journal.contents();
             files = new StoredCatalogue(contents.snapshot(), contents.records());
         }
-        return new GatewayState(nodeList, maps, files, new BackgroundStoreWriter(directory, journal));
+        return new GatewayState(
+                new StoredState(nodeList, maps, unflushedWrites, files), new BackgroundStoreWriter(directory, journal));
     }
 }
--- a/cli/src/main/java/garnetreel/cli/ServiceProcess.java
+++ b/cli/src/main/java/garnetreel/cli/ServiceProcess.java
@@ -53,11 +53,7 @@
             closeWithProcess(state.writer(), state.writer()::close);
         }
         Gateway gateway = new Gateway(
-                settings,
-                new FairQueueScheduler(settings.scheduling(), settings.incarnation()),
-                state.nodeList(),
-                state.maps(),
-                state.files());
+                settings, new FairQueueScheduler(settings.scheduling(), settings.incarnation()), state.stored());
         return run(
                 "head-" + settings.gatewayNumber(),
                 gateway,
--- a/cli/src/main/java/garnetreel/cli/testing/bench/GatewayBenchmark.java
+++ b/cli/src/main/java/garnetreel/cli/testing/bench/GatewayBenchmark.java
@@ -5,6 +5,7 @@
 import garnetreel.cli.testing.bench.NbdLoad.Outcome;
 import garnetreel.core.Gateway;
 import garnetreel.core.GatewaySettings;
+import garnetreel.core.StoredState;
 import garnetreel.core.io.StateMachine;
 import garnetreel.policy.FairQueueScheduler;
 import java.io.IOException;
@@ -42,7 +43,7 @@
     /** Prints one row per case, then the latency percentiles of each. */
     public void run(GatewaySettings settings, Launcher launcher) throws IOException {
         TimedScheduler scheduler = new TimedScheduler(new FairQueueScheduler(settings.scheduling(), 1));
-        String gateway = launcher.launch("head", new Gateway(settings, scheduler, null, null));
+        String gateway = launcher.launch("head", new Gateway(settings, scheduler, StoredState.NONE));
         String memory = launcher.launch("memory", new InMemoryGateway(settings));
         String export = settings.volumes().get(0).name();
         long size = settings.volumes().get(0).size();
--- a/cli/src/main/java/garnetreel/cli/testing/bench/SustainedLoad.java
+++ b/cli/src/main/java/garnetreel/cli/testing/bench/SustainedLoad.java
@@ -5,6 +5,7 @@
 import garnetreel.cli.testing.bench.NbdLoad.Outcome;
 import garnetreel.core.Gateway;
 import garnetreel.core.GatewaySettings;
+import garnetreel.core.StoredState;
 import garnetreel.policy.FairQueueScheduler;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -27,7 +28,7 @@
             PrintWriter out, GatewaySettings settings, GatewayBenchmark.Launcher launcher, double minutes)
             throws IOException {
         String gateway = launcher.launch(
-                "head", new Gateway(settings, new FairQueueScheduler(settings.scheduling(), 1), null, null));
+                "head", new Gateway(settings, new FairQueueScheduler(settings.scheduling(), 1), StoredState.NONE));
         String export = settings.volumes().get(0).name();
         long size = settings.volumes().get(0).size();
         var system = (UnixOperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
--- a/cli/src/test/java/garnetreel/cli/testing/DeploymentHarness.java
+++ b/cli/src/test/java/garnetreel/cli/testing/DeploymentHarness.java
@@ -7,6 +7,7 @@
 import garnetreel.codec.nodelist.NodeListMessage.State;
 import garnetreel.core.Gateway;
 import garnetreel.core.GatewaySettings;
+import garnetreel.core.StoredState;
 import garnetreel.core.io.StateMachine;
 import garnetreel.net.Clock;
 import garnetreel.net.EventLoop;
@@ -147,7 +148,8 @@
                 settings.gateway(gateway, clock.currentMicros(), addresses.get(gateway), nodeListAddress, "");
         gateways.set(
                 gateway,
-                new Gateway(gatewaySettings, new FairQueueScheduler(gatewaySettings.scheduling(), 1), null, null));
+                new Gateway(
+                        gatewaySettings, new FairQueueScheduler(gatewaySettings.scheduling(), 1), StoredState.NONE));
         gatewayLoops.set(gateway, run("head-" + gateway, gateways.get(gateway)));
         addresses.set(gateway, ServiceProcess.bound(gatewayLoops.get(gateway), Gateway.NBD));
     }
--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenGateway.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenGateway.java
@@ -6,8 +6,10 @@
 import garnetreel.codec.nodelist.NodeListMessage;
 import garnetreel.core.Gateway;
 import garnetreel.core.GatewaySettings;
+import garnetreel.core.StoredState;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetEvent;
+import garnetreel.core.request.RequestRegistry;
 import garnetreel.core.server.rsync.FileCatalogueStore.StoredCatalogue;
 import garnetreel.policy.FairQueueScheduler;
 import java.nio.ByteBuffer;
@@ -74,9 +76,11 @@
         return new Gateway(
                 gatewaySettings,
                 new FairQueueScheduler(gatewaySettings.scheduling(), 1),
-                cachedList,
-                null,
-                new StoredCatalogue(durableSnapshot, List.copyOf(durableRecords)));
+                new StoredState(
+                        cachedList,
+                        null,
+                        durableStates.get(RequestRegistry.UNFLUSHED_WRITES_NAME),
+                        new StoredCatalogue(durableSnapshot, List.copyOf(durableRecords))));
     }
 
     /** Kills the gateway and starts it again after a time; what was not durable is lost, and so are its connections. */
@@ -87,17 +91,14 @@
         clients.clear();
         appendsHeld = false;
         nodesByAddress.values().forEach(DrivenNode::gatewayDisconnected);
-        advanceNodes(downMicros);
-        start();
-    }
-
-    private void advanceNodes(long micros) {
-        now += micros;
+        now += downMicros;
         nodesByAddress.values().forEach(node -> node.runUntil(now, answer -> {}));
+        start();
     }
 
-    long now() {
-        return now;
+    /** Loses the named states, as if the gateway had no state directory; the journal of files stays. */
+    void loseStoredStates() {
+        durableStates.clear();
     }
 
     /** While held, journal records do not become durable. */
--- a/core/src/main/java/garnetreel/core/ExtentLayout.java
+++ b/core/src/main/java/garnetreel/core/ExtentLayout.java
@@ -10,6 +10,9 @@
     /** The location of the extent that contains an offset of the volume. */
     ExtentLocation locate(long offset);
 
+    /** The shards that extents are placed on. */
+    List<Integer> shards();
+
     /**
      * The location of an extent.
      *
@@ -31,10 +34,18 @@
                     + extentBytes + " bytes and " + shards.size() + " shards");
         }
         int[] shardNumbers = shards.stream().mapToInt(Integer::intValue).toArray();
-        return offset -> {
-            long extent = offset / extentBytes;
-            return new ExtentLocation(
-                    shardNumbers[(int) (extent % shardNumbers.length)], 0, (extent + 1) * extentBytes);
+        return new ExtentLayout() {
+            @Override
+            public ExtentLocation locate(long offset) {
+                long extent = offset / extentBytes;
+                return new ExtentLocation(
+                        shardNumbers[(int) (extent % shardNumbers.length)], 0, (extent + 1) * extentBytes);
+            }
+
+            @Override
+            public List<Integer> shards() {
+                return List.copyOf(shards);
+            }
         };
     }
 }
--- a/core/src/main/java/garnetreel/core/Gateway.java
+++ b/core/src/main/java/garnetreel/core/Gateway.java
@@ -46,8 +46,7 @@
     public record Shutdown() implements NetEvent.Command {}
 
     private final GatewaySettings settings;
-    private final byte[] cachedNodeList;
-    private final byte[] cachedMap;
+    private final StoredState stored;
     private final SchedulerDriver scheduler;
     private final ProcessPauseDetector pauseDetector = new ProcessPauseDetector();
     private final NodeConnectionPool nodes;
@@ -67,44 +66,24 @@
     private long now;
 
     /**
-     * A gateway that starts with an empty file catalogue.
+     * A gateway that starts from what an earlier incarnation stored.
      *
      * @param scheduler a new scheduler
-     * @param cachedNodeList the last {@link NetAction.Persist} under {@link NodeListClient#CACHE_NAME}; null for none
-     * @param cachedMap the same under {@link MapServiceClient#CACHE_NAME}
      */
-    public Gateway(GatewaySettings settings, Scheduler scheduler, byte[] cachedNodeList, byte[] cachedMap) {
-        this(settings, scheduler, cachedNodeList, cachedMap, FileCatalogueStore.StoredCatalogue.EMPTY);
-    }
-
-    /**
-     * A gateway that starts with what an earlier incarnation persisted.
-     *
-     * @param scheduler a new scheduler
-     * @param cachedNodeList the last {@link NetAction.Persist} under {@link NodeListClient#CACHE_NAME}; null for none
-     * @param cachedMap the same under {@link MapServiceClient#CACHE_NAME}
-     * @param catalogue the file catalogue, from {@link NetAction.Append} and {@link NetAction.Snapshot}
-     */
-    public Gateway(
-            GatewaySettings settings,
-            Scheduler scheduler,
-            byte[] cachedNodeList,
-            byte[] cachedMap,
-            FileCatalogueStore.StoredCatalogue catalogue) {
+    public Gateway(GatewaySettings settings, Scheduler scheduler, StoredState stored) {
         this.settings = settings;
-        this.cachedNodeList = cachedNodeList;
-        this.cachedMap = cachedMap;
+        this.stored = stored;
         this.scheduler = new SchedulerDriver(scheduler, this);
         ConnectionIdAllocator connectionIds = new ConnectionIdAllocator();
         nodes = new NodeConnectionPool(settings, connectionIds);
         nodes.listener(this);
         mapService = new MapServiceClient(settings, connectionIds);
-        requests = new RequestRegistry(settings, nodes, mapService);
+        requests = new RequestRegistry(settings, nodes, mapService, stored.unflushedWrites());
         mapService.onChange(requests::mapChanged);
         nodeList = new NodeListClient(settings, connectionIds, requests::addEvent);
         byteBudget = new ByteBudget(settings.bounds().gatewayBytes());
         nbd = new NbdServer(settings, requests, byteBudget);
-        fileCatalogue = new FileCatalogueStore(settings, catalogue);
+        fileCatalogue = new FileCatalogueStore(settings, stored.catalogue());
         rsync = new RsyncServer(settings, requests, byteBudget, fileCatalogue);
         connectionEvents = new ConnectionDispatcher(nbd, rsync, nodes, nodeList, mapService);
     }
@@ -132,15 +111,15 @@
         nodes.beginTurn(now, actions);
         nodeList.beginTurn(now, actions);
         mapService.beginTurn(now, actions);
-        requests.beginTurn(now, earliestReceivedAt);
+        requests.beginTurn(now, earliestReceivedAt, actions);
         nbd.beginTurn(now, actions);
         fileCatalogue.beginTurn(now, actions);
         rsync.beginTurn(now, actions);
     }
 
     private void start(List<NetAction> actions) {
-        nodeList.start(cachedNodeList);
-        mapService.start(cachedMap);
+        nodeList.start(stored.nodeList());
+        mapService.start(stored.map());
         actions.add(new NetAction.Listen(NBD, settings.nbdAddress()));
         if (servesFiles()) {
             actions.add(new NetAction.Listen(RSYNC, settings.files().rsyncAddress()));
--- a/core/src/main/java/garnetreel/core/connection/MapServiceClient.java
+++ b/core/src/main/java/garnetreel/core/connection/MapServiceClient.java
@@ -20,7 +20,9 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 
 /**
  * The gateway's extent map and its connection to the map service. The cached map is used regardless of its age, since
@@ -115,6 +117,21 @@
                 map.shard(extent), map.version(extent), (extent + 1) * map.extentBytes());
     }
 
+    @Override
+    public Set<Integer> shards(Volume volume) {
+        Set<Integer> shards = new TreeSet<>(volume.layout().shards());
+        ExtentMap map = cache.volume(volume.id());
+        if (map != null) {
+            shards.addAll(map.shards());
+        }
+        return shards;
+    }
+
+    @Override
+    public boolean isMapKnown() {
+        return settings.mapServiceAddress().isEmpty() || cache.version() > 0;
+    }
+
     /**
      * Schedules a call to the map service if there is no connection. With one, an update follows anyway: by
      * subscription, or as the answer to the call in flight or due. A gateway that does not subscribe calls as soon as
--- a/core/src/main/java/garnetreel/core/request/RequestRegistry.java
+++ b/core/src/main/java/garnetreel/core/request/RequestRegistry.java
@@ -6,6 +6,7 @@
 import garnetreel.core.Volume;
 import garnetreel.core.connection.NodeAttempt;
 import garnetreel.core.connection.NodeConnectionPool;
+import garnetreel.core.io.NetAction;
 import garnetreel.policy.action.FailRequest;
 import garnetreel.policy.action.RejectRequest;
 import garnetreel.policy.action.SendAttempt;
@@ -14,9 +15,12 @@
 import garnetreel.policy.event.Outcome;
 import garnetreel.policy.event.RequestCancelled;
 import garnetreel.policy.event.SchedulerEvent;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The block requests of a gateway. It splits operations into sub-requests at extent boundaries, reports each
@@ -26,11 +30,15 @@
  * <ul>
  * <li>rejects an operation if the limit of concurrent operations is reached, or if its deadline passed before it was
  *     read;
+ * <li>rejects a flush while the shards that an earlier process may have written to are not known;
  * <li>rejects a sub-request that still waits for a newer extent map at its deadline;
  * <li>fails a sub-request without a decision at its deadline, and a flush whose node has lost writes in a restart.
  * </ul>
  */
 public final class RequestRegistry implements BlockBackend {
+    /** Name of the state that tells which nodes hold unflushed writes. */
+    public static final String UNFLUSHED_WRITES_NAME = "unflushed";
+
     /**
      * Maximum number of open sub-requests of one operation, so that a trim of 4 GiB does not flood the scheduler. A
      * flush is exempt: it has one for each shard with unflushed writes.
@@ -47,14 +55,22 @@
     private final PendingEvents events = new PendingEvents();
     private final SubRequestTable subRequests = new SubRequestTable(events);
     private final UnflushedWrites unflushedWrites = new UnflushedWrites();
+    private final UnflushedWritesStore unflushedWritesStore;
+    private List<NetAction> actions = new ArrayList<>();
     private long now;
     private long earliestReceivedAt;
     private int operations;
     private long rejectedAtLimit;
     private long missedDeadlines;
 
-    /** A registry that locates extents through {@code router} and sends to the nodes through {@code nodes}. */
-    public RequestRegistry(GatewaySettings settings, NodeConnectionPool nodes, ExtentRouter router) {
+    /**
+     * A registry that locates extents through {@code router} and sends to the nodes through {@code nodes}.
+     *
+     * @param storedUnflushedWrites the last {@link NetAction.Persist} under {@link #UNFLUSHED_WRITES_NAME}; null for
+     *     none
+     */
+    public RequestRegistry(
+            GatewaySettings settings, NodeConnectionPool nodes, ExtentRouter router, byte[] storedUnflushedWrites) {
         this.settings = settings;
         this.nodes = nodes;
         this.router = router;
@@ -62,6 +78,9 @@
         int maxSubRequestBytes = (int) Math.max(1, settings.scheduling().maxUnits()) * bounds.unitBytes();
         this.splitter = new RequestSplitter(router, bounds.unitBytes(), bounds.keyBytes(), maxSubRequestBytes);
         settings.scheduling().classes().forEach(c -> classes.put(c.name(), c));
+        unflushedWritesStore = new UnflushedWritesStore(storedUnflushedWrites);
+        Set<Long> volumes = settings.volumes().stream().map(Volume::id).collect(Collectors.toSet());
+        unflushedWrites.restore(unflushedWritesStore.restored(volumes));
     }
 
     /**
@@ -69,9 +88,11 @@
      *
      * @param time the time of this turn
      * @param earliestReceived the earliest time at which the data read in this turn may have been received
+     * @param turnActions the actions of this turn are added to it
      */
-    public void beginTurn(long time, long earliestReceived) {
+    public void beginTurn(long time, long earliestReceived, List<NetAction> turnActions) {
         now = time;
+        actions = turnActions;
         earliestReceivedAt = earliestReceived;
     }
 
@@ -135,6 +156,10 @@
             reject(operation, "this head holds " + operations + " requests, its most");
             return operation;
         }
+        if (op == Op.FLUSH && !unflushedWrites.coversAllShards(volume.id()) && !router.isMapKnown()) {
+            reject(operation, "the extent map is not known yet, so neither are the shards to flush");
+            return operation;
+        }
         if (now >= deadline) {
             // Received while this process was paused, and its deadline has passed; nothing has been sent.
             reject(operation, "this head was stopped past the request's deadline");
@@ -164,8 +189,12 @@
     }
 
     private void flush(BlockOperation operation) {
+        long volumeId = operation.volume.id();
+        if (!unflushedWrites.coversAllShards(volumeId)) {
+            unflushedWrites.assumeUnflushed(volumeId, router.shards(operation.volume));
+        }
         long lastWriteNumber = unflushedWrites.lastWriteNumber();
-        for (int shard : unflushedWrites.shards(operation.volume.id())) {
+        for (int shard : unflushedWrites.shards(volumeId)) {
             subRequests.add(RequestSplitter.flush(operation, shard, lastWriteNumber, subRequests.nextId()), now);
         }
     }
@@ -313,15 +342,17 @@
         long volume = operation.volume.id();
         int shard = subRequest.shard;
         subRequests.complete(subRequest);
-        if (operation.op == Op.FLUSH
-                && !unflushedWrites.recordFlush(volume, shard, answer.incarnation(), subRequest.lastWriteCovered)) {
-            operation.failed(
-                    subRequest,
-                    "the node of shard " + shard + " restarted and lost writes that were answered and not flushed");
-            return Outcome.OK;
+        if (operation.op == Op.FLUSH) {
+            unflushedWritesStore.flushed(now);
+            if (!unflushedWrites.recordFlush(volume, shard, answer.incarnation(), subRequest.lastWriteCovered)) {
+                operation.failed(
+                        subRequest,
+                        "the node of shard " + shard + " restarted and lost writes that were answered and not flushed");
+                return Outcome.OK;
+            }
         }
         if (operation.op.changesData() && !operation.sync) {
-            unflushedWrites.recordWrite(volume, shard, answer.incarnation());
+            unflushedWritesStore.written(unflushedWrites.recordWrite(volume, shard, answer.incarnation()), actions);
         }
         operation.served(subRequest, answer.data());
         return Outcome.OK;
@@ -351,7 +382,7 @@
 
     /** When {@link #expire()} must be called next; {@link Long#MAX_VALUE} for never. */
     public long nextDeadline() {
-        return Math.min(subRequests.nextReroute(), nextMissedDeadline());
+        return Math.min(Math.min(subRequests.nextReroute(), nextMissedDeadline()), unflushedWritesStore.nextDeadline());
     }
 
     private long nextMissedDeadline() {
@@ -367,6 +398,9 @@
      * answered despite a defect in the scheduler or a late turn; it is harmless, as the client has given up by then.
      */
     public void expire() {
+        if (now >= unflushedWritesStore.nextDeadline()) {
+            unflushedWritesStore.removeFlushed(unflushedWrites.writtenNodes(), actions);
+        }
         if (now >= subRequests.nextReroute()) {
             subRequests.reroute(router);
         }
--- a/core/src/main/java/garnetreel/core/request/UnflushedWrites.java
+++ b/core/src/main/java/garnetreel/core/request/UnflushedWrites.java
@@ -1,6 +1,8 @@
 package garnetreel.core.request;
 
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -15,6 +17,10 @@
  * incarnation, and a flush fails if it covers a write that another incarnation acknowledged. A node that keeps its
  * unflushed writes over a restart must keep its incarnation too; otherwise flushes fail although no write was lost.
  *
+ * <p>An earlier process of this gateway may have acknowledged writes that this one does not know of. Until a flush of a
+ * volume has been sent to every shard of it, each of them is taken to hold unflushed writes. The incarnations to which
+ * those writes belong are known as far as {@link UnflushedWritesStore} has stored them.
+ *
  * <p>Memory is bounded: there is one entry per volume, shard and incarnation with unflushed writes. Further
  * incarnations of a shard beyond {@link #MAX_INCARNATIONS} share one entry, whose writes count as lost.
  */
@@ -22,20 +28,70 @@
     private static final int MAX_INCARNATIONS = 8;
     /** Stands for all incarnations beyond the limit; no node uses this value. */
     private static final long LOST_INCARNATION = Long.MIN_VALUE;
+    /** Stands for the unknown incarnation that an earlier process of this gateway wrote to; no node uses this value. */
+    private static final long UNKNOWN_INCARNATION = Long.MIN_VALUE + 1;
+    /** Number of a write by an earlier process: every flush covers it. */
+    private static final long EARLIER_WRITE = 0;
 
     private record VolumeShard(long volume, int shard) {}
 
+    /** An incarnation of a shard's node that has acknowledged writes to a volume. */
+    record WrittenNode(long volume, int shard, long incarnation) implements Comparable<WrittenNode> {
+        private static final Comparator<WrittenNode> ORDER = Comparator.comparingLong(WrittenNode::volume)
+                .thenComparingInt(WrittenNode::shard)
+                .thenComparingLong(WrittenNode::incarnation);
+
+        @Override
+        public int compareTo(WrittenNode other) {
+            return ORDER.compare(this, other);
+        }
+    }
+
     /** The number of the last unflushed write, by incarnation of the shard's node. */
     private final Map<VolumeShard, TreeMap<Long, Long>> lastWrites = new HashMap<>();
+    /** Volumes of which every shard was made an entry since the start. */
+    private final Set<Long> volumesWithEntries = new HashSet<>();
 
-    private long lastWriteNumber;
+    private long lastWriteNumber = EARLIER_WRITE;
 
-    /** Records a write acknowledged by an incarnation of the shard's node. */
-    void recordWrite(long volume, int shard, long incarnation) {
-        TreeMap<Long, Long> byIncarnation =
-                lastWrites.computeIfAbsent(new VolumeShard(volume, shard), unused -> new TreeMap<>());
+    /** Takes over writes that an earlier process stored. */
+    void restore(Set<WrittenNode> writtenNodes) {
+        for (WrittenNode written : writtenNodes) {
+            entry(written.volume(), written.shard()).put(written.incarnation(), EARLIER_WRITE);
+        }
+    }
+
+    /** The nodes with writes that may not be durable, as far as their incarnations are known. */
+    Set<WrittenNode> writtenNodes() {
+        Set<WrittenNode> writtenNodes = new TreeSet<>();
+        lastWrites.forEach((key, byIncarnation) -> byIncarnation.keySet().stream()
+                .filter(incarnation -> incarnation != UNKNOWN_INCARNATION)
+                .forEach(incarnation -> writtenNodes.add(new WrittenNode(key.volume(), key.shard(), incarnation))));
+        return writtenNodes;
+    }
+
+    /** Whether every shard of a volume was made an entry, so that {@link #shards} is complete. */
+    boolean coversAllShards(long volume) {
+        return volumesWithEntries.contains(volume);
+    }
+
+    /** Takes every shard of a volume to hold unflushed writes of an earlier process. */
+    void assumeUnflushed(long volume, Set<Integer> shards) {
+        shards.forEach(shard -> entry(volume, shard).put(UNKNOWN_INCARNATION, EARLIER_WRITE));
+        volumesWithEntries.add(volume);
+    }
+
+    private TreeMap<Long, Long> entry(long volume, int shard) {
+        return lastWrites.computeIfAbsent(new VolumeShard(volume, shard), unused -> new TreeMap<>());
+    }
+
+    /** Records a write acknowledged by an incarnation of the shard's node, and returns the entry that stands for it. */
+    WrittenNode recordWrite(long volume, int shard, long incarnation) {
+        TreeMap<Long, Long> byIncarnation = entry(volume, shard);
         boolean limitReached = byIncarnation.size() >= MAX_INCARNATIONS && !byIncarnation.containsKey(incarnation);
-        byIncarnation.put(limitReached ? LOST_INCARNATION : incarnation, ++lastWriteNumber);
+        long recordedIncarnation = limitReached ? LOST_INCARNATION : incarnation;
+        byIncarnation.put(recordedIncarnation, ++lastWriteNumber);
+        return new WrittenNode(volume, shard, recordedIncarnation);
     }
 
     /** Number of the last acknowledged write; a flush that starts now covers all writes up to it. */
@@ -43,8 +99,15 @@
         return lastWriteNumber;
     }
 
-    /** The shards of a volume with writes that may not be durable, in ascending order. */
+    /**
+     * The shards of a volume with writes that may not be durable, in ascending order.
+     *
+     * @throws IllegalStateException if a shard that an earlier process wrote to could be missing
+     */
     Set<Integer> shards(long volume) {
+        if (!coversAllShards(volume)) {
+            throw new IllegalStateException("the shards of volume " + volume + " are not known yet");
+        }
         Set<Integer> shards = new TreeSet<>();
         for (VolumeShard entry : lastWrites.keySet()) {
             if (entry.volume() == volume) {
@@ -61,6 +124,7 @@
         if (byIncarnation == null) {
             return true;
         }
+        byIncarnation.remove(UNKNOWN_INCARNATION);
         boolean lost = byIncarnation.entrySet().removeIf(e -> e.getKey() != incarnation);
         byIncarnation.computeIfPresent(incarnation, (unused, last) -> last <= lastWriteCovered ? null : last);
         if (byIncarnation.isEmpty()) {
--- a/core/src/test/java/garnetreel/core/request/RequestFixtures.java
+++ b/core/src/test/java/garnetreel/core/request/RequestFixtures.java
@@ -7,6 +7,7 @@
 import garnetreel.policy.config.Idempotency;
 import garnetreel.policy.config.RequestClass;
 import java.util.List;
+import java.util.Set;
 
 /** Operations and sub-requests on a volume of 1 MiB with extents of 64 KiB, distributed over shards 0 to 2. */
 final class RequestFixtures {
@@ -35,6 +36,16 @@
                 return volume.layout().locate(offset);
             }
 
+            @Override
+            public Set<Integer> shards(Volume volume) {
+                return Set.copyOf(volume.layout().shards());
+            }
+
+            @Override
+            public boolean isMapKnown() {
+                return true;
+            }
+
             @Override
             public void reportStale() {
                 throw new AssertionError("a fixed layout is never stale");
--- a/testbed/src/main/java/garnetreel/testbed/scenario/Deployment.java
+++ b/testbed/src/main/java/garnetreel/testbed/scenario/Deployment.java
@@ -4,10 +4,12 @@
 import garnetreel.codec.nodelist.NodeListMessage.State;
 import garnetreel.core.Gateway;
 import garnetreel.core.GatewaySettings;
+import garnetreel.core.StoredState;
 import garnetreel.core.connection.MapServiceClient;
 import garnetreel.core.connection.NodeListClient;
 import garnetreel.core.io.NetEvent;
 import garnetreel.core.io.StateMachine;
+import garnetreel.core.request.RequestRegistry;
 import garnetreel.core.server.rsync.FileCatalogueStore;
 import garnetreel.map.MapState;
 import garnetreel.mapservice.MapService;
@@ -109,9 +111,11 @@
             StateMachine gateway = wrapper.apply(new Gateway(
                     settings,
                     scenario.scheduler().apply(settings.scheduling(), random.nextLong()),
-                    store.value(NodeListClient.CACHE_NAME),
-                    store.value(MapServiceClient.CACHE_NAME),
-                    new FileCatalogueStore.StoredCatalogue(catalogue.snapshot(), catalogue.records())));
+                    new StoredState(
+                            store.value(NodeListClient.CACHE_NAME),
+                            store.value(MapServiceClient.CACHE_NAME),
+                            store.value(RequestRegistry.UNFLUSHED_WRITES_NAME),
+                            new FileCatalogueStore.StoredCatalogue(catalogue.snapshot(), catalogue.records()))));
             process = environment.launch(name(), gateway, store);
             address = process.address(Gateway.NBD);
             if (servesFiles) {
