Space is given to another file only when no write sent for its last owner is at work

Cause: a write without an answer is repeated while its first attempt may still be at work. Only the giving up of a file asked for that. When the repeat succeeded and the file was replaced, its blocks were free at once. A restart freed them at once as well.

The catalogue asks before any space is freed, whatever freed it, and withholds it until then.

Why this works: a block is reserved by one owner at a time, all attempts to write it are known from before they are sent, and no further attempt starts after its release.

--- a/cli/src/main/java/garnetreel/cli/FilesCommand.java
+++ b/cli/src/main/java/garnetreel/cli/FilesCommand.java
@@ -7,6 +7,7 @@
 import garnetreel.core.Volume;
 import garnetreel.files.Catalogue;
 import garnetreel.files.FileEntry;
+import garnetreel.files.PendingWrites;
 import garnetreel.store.Journal;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -104,7 +105,9 @@
         }
         try (Journal journal = new Journal(journalFile)) {
             Journal.Contents contents = journal.contents();
-            return new Catalogue(modules, contents.snapshot(), contents.records());
+            Catalogue catalogue = new Catalogue(modules, contents.snapshot(), contents.records(), PendingWrites.NONE);
+            catalogue.reclaim();
+            return catalogue;
         }
     }
 
--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenNode.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenNode.java
@@ -11,8 +11,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -29,6 +31,7 @@
     private final Deque<Long> hangs = new ArrayDeque<>();
     private final List<DelayedWrite> delayedWrites = new ArrayList<>();
     private final List<Op> executed = new ArrayList<>();
+    private final Set<Long> writtenOffsets = new HashSet<>();
     private long incarnation = 1;
 
     private record DelayedWrite(long doneAt, Request request) {}
@@ -58,6 +61,16 @@
         return executed;
     }
 
+    /** Whether a write to this offset was executed. */
+    boolean executedAt(long offset) {
+        return writtenOffsets.contains(offset);
+    }
+
+    /** Whether the node holds these bytes at an offset. */
+    boolean holds(int offset, byte[] bytes) {
+        return Arrays.equals(bytes, 0, bytes.length, cached, offset, offset + bytes.length);
+    }
+
     /** Loses what was not flushed and the work in progress, and begins a new incarnation. */
     void restart() {
         System.arraycopy(durable, 0, cached, 0, durable.length);
@@ -111,6 +124,7 @@
         ByteBuffer data = NodeMessage.noData();
         switch (request.op()) {
             case WRITE -> {
+                writtenOffsets.add(request.offset());
                 request.data().duplicate().get(cached, offset, request.length());
                 if (request.sync()) {
                     System.arraycopy(cached, offset, durable, offset, request.length());
--- a/core/src/main/java/garnetreel/core/Gateway.java
+++ b/core/src/main/java/garnetreel/core/Gateway.java
@@ -80,10 +80,10 @@
         mapService = new MapServiceClient(settings, connectionIds);
         requests = new RequestRegistry(settings, nodes, mapService, stored.unflushedWrites());
         mapService.onChange(requests::mapChanged);
-        nodeList = new NodeListClient(settings, connectionIds, requests::addEvent);
+        nodeList = new NodeListClient(settings, connectionIds, requests.events()::add);
         byteBudget = new ByteBudget(settings.bounds().gatewayBytes());
         nbd = new NbdServer(settings, requests, byteBudget);
-        fileCatalogue = new FileCatalogueStore(settings, stored.catalogue());
+        fileCatalogue = new FileCatalogueStore(settings, requests.writeSettlement(), stored.catalogue());
         rsync = new RsyncServer(settings, requests, byteBudget, fileCatalogue);
         connectionEvents = new ConnectionDispatcher(nbd, rsync, nodes, nodeList, mapService);
     }
@@ -182,9 +182,9 @@
     }
 
     private void runScheduler(List<NetAction> actions) {
-        scheduler.expireTimers(now, requests::addEvent);
-        if (requests.hasEvents()) {
-            scheduler.decide(now, requests.takeEvents(), actions);
+        scheduler.expireTimers(now, requests.events()::add);
+        if (!requests.events().isEmpty()) {
+            scheduler.decide(now, requests.events().takeAll(), actions);
         }
     }
 
@@ -205,7 +205,7 @@
 
     @Override
     public long nextDeadline() {
-        if (!started || requests.hasEvents()) {
+        if (!started || !requests.events().isEmpty()) {
             return now;
         }
         return earliest(
@@ -277,9 +277,14 @@
         requests.attemptEnded(attempt, outcome, answer);
     }
 
+    @Override
+    public void answeredLate(long subRequestId, int attemptIndex) {
+        requests.answeredLate(subRequestId, attemptIndex);
+    }
+
     @Override
     public void healthCheckEnded(HealthCheckCompleted result) {
-        requests.addEvent(result);
+        requests.events().add(result);
     }
 
     // ---------------------------------------------------------------- statistics
--- a/core/src/main/java/garnetreel/core/connection/NodeConnection.java
+++ b/core/src/main/java/garnetreel/core/connection/NodeConnection.java
@@ -5,16 +5,23 @@
 import garnetreel.core.GatewaySettings;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A connection to a node, with the attempts sent or queued on it. */
 final class NodeConnection {
+    /** Maximum number of ended attempts whose late answers are recognised. */
+    private static final int MAX_UNANSWERED = 1024;
+
     final long id;
     final String node;
     final ByteQueue received = new ByteQueue();
     /** Attempts whose requests were passed to the open connection: the node may have executed them. */
     final Map<AttemptKey, NodeAttempt> sent = new LinkedHashMap<>();
+    /** Attempts that ended without an answer, the oldest first; the node may still answer them. */
+    final Set<AttemptKey> unanswered = new LinkedHashSet<>();
     /** Attempts that wait for the end of the handshake, the node's Welcome. */
     final List<QueuedAttempt> queued = new ArrayList<>();
 
@@ -52,6 +59,14 @@
         lastUsedAt = now;
     }
 
+    /** Adds an attempt that ended without an answer; beyond the limit the oldest is forgotten. */
+    void addUnanswered(AttemptKey key) {
+        if (unanswered.size() >= MAX_UNANSWERED) {
+            unanswered.remove(unanswered.iterator().next());
+        }
+        unanswered.add(key);
+    }
+
     /** Number of attempts that are sent and not ended, or queued. */
     int openAttempts() {
         return sent.size() + queued.size();
--- a/core/src/main/java/garnetreel/core/connection/NodeConnectionPool.java
+++ b/core/src/main/java/garnetreel/core/connection/NodeConnectionPool.java
@@ -34,8 +34,8 @@
  * <li>CANCELLED: it was cancelled, and if it had been sent, it may have been executed;
  * <li>CONNECT_FAILED: its request was never passed to a ready connection, so it was not executed;
  * <li>RESET: the connection ended after the request was passed to it, so it may have been executed;
- * <li>TIMEOUT: there was no answer in time, so it may have been executed. An answer that arrives later matches no
- *     attempt and is counted as late.
+ * <li>TIMEOUT: there was no answer in time, so it may have been executed. An answer that arrives later ends no attempt;
+ *     it is counted as late, and tells that the node does not work on the attempt any more.
  * </ul>
  *
  * <p>A health check ends as NOT_STARTED if there is no connection for it or too many checks are in flight, and as
@@ -47,6 +47,9 @@
         /** An attempt ended; {@code answer} is null if the node gave none. */
         void attemptEnded(NodeAttempt attempt, Outcome outcome, Answer answer);
 
+        /** A node answered an attempt that had ended without an answer: it does not work on it any more. */
+        void answeredLate(long subRequestId, int attemptIndex);
+
         /** A health check ended. */
         void healthCheckEnded(HealthCheckCompleted result);
     }
@@ -232,6 +235,9 @@
         NodeAttempt attempt = connection.sent.get(new AttemptKey(answer.id(), answer.attempt()));
         if (attempt == null) {
             lateAnswers++;
+            if (connection.unanswered.remove(new AttemptKey(answer.id(), answer.attempt()))) {
+                listener.answeredLate(answer.id(), answer.attempt());
+            }
             return;
         }
         connection.markUsed(now);
@@ -262,6 +268,9 @@
 
     private void endSent(NodeConnection connection, NodeAttempt attempt, Outcome outcome, Answer answer) {
         connection.sent.remove(attempt.key());
+        if (answer == null) {
+            connection.addUnanswered(attempt.key());
+        }
         attempts.remove(attempt);
         listener.attemptEnded(attempt, outcome, answer);
     }
--- a/core/src/main/java/garnetreel/core/request/RequestRegistry.java
+++ b/core/src/main/java/garnetreel/core/request/RequestRegistry.java
@@ -14,13 +14,10 @@
 import garnetreel.policy.event.AttemptCompleted;
 import garnetreel.policy.event.Outcome;
 import garnetreel.policy.event.RequestCancelled;
-import garnetreel.policy.event.SchedulerEvent;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * The block requests of a gateway. It splits operations into sub-requests at extent boundaries, reports each
@@ -54,8 +51,8 @@
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final PendingEvents events = new PendingEvents();
     private final SubRequestTable subRequests = new SubRequestTable(events);
-    private final UnflushedWrites unflushedWrites = new UnflushedWrites();
-    private final UnflushedWritesStore unflushedWritesStore;
+    private final FlushCoordinator flushes;
+    private final UnsettledWrites unsettledWrites;
     private List<NetAction> actions = new ArrayList<>();
     private long now;
     private long earliestReceivedAt;
@@ -78,9 +75,13 @@
         int maxSubRequestBytes = (int) Math.max(1, settings.scheduling().maxUnits()) * bounds.unitBytes();
         this.splitter = new RequestSplitter(router, bounds.unitBytes(), bounds.keyBytes(), maxSubRequestBytes);
         settings.scheduling().classes().forEach(c -> classes.put(c.name(), c));
-        unflushedWritesStore = new UnflushedWritesStore(storedUnflushedWrites);
-        Set<Long> volumes = settings.volumes().stream().map(Volume::id).collect(Collectors.toSet());
-        unflushedWrites.restore(unflushedWritesStore.restored(volumes));
+        flushes = new FlushCoordinator(settings, router, storedUnflushedWrites);
+        unsettledWrites = new UnsettledWrites(settings);
+    }
+
+    /** Tells which writes that were sent may still take effect. */
+    public WriteSettlement writeSettlement() {
+        return unsettledWrites;
     }
 
     /**
@@ -93,22 +94,13 @@
     public void beginTurn(long time, long earliestReceived, List<NetAction> turnActions) {
         now = time;
         actions = turnActions;
+        unsettledWrites.beginTurn(time);
         earliestReceivedAt = earliestReceived;
     }
 
-    /** Removes and returns the events not yet passed to the scheduler. */
-    public List<SchedulerEvent> takeEvents() {
-        return events.takeAll();
-    }
-
-    /** Adds an event for the scheduler that does not concern a request. */
-    public void addEvent(SchedulerEvent event) {
-        events.add(event);
-    }
-
-    /** Whether the scheduler has events to handle. */
-    public boolean hasEvents() {
-        return !events.isEmpty();
+    /** The events not yet passed to the scheduler. */
+    public PendingEvents events() {
+        return events;
     }
 
     /** Operations in progress. */
@@ -156,7 +148,7 @@
             reject(operation, "this head holds " + operations + " requests, its most");
             return operation;
         }
-        if (op == Op.FLUSH && !unflushedWrites.coversAllShards(volume.id()) && !router.isMapKnown()) {
+        if (op == Op.FLUSH && !flushes.isReady(volume)) {
             reject(operation, "the extent map is not known yet, so neither are the shards to flush");
             return operation;
         }
@@ -189,12 +181,8 @@
     }
 
     private void flush(BlockOperation operation) {
-        long volumeId = operation.volume.id();
-        if (!unflushedWrites.coversAllShards(volumeId)) {
-            unflushedWrites.assumeUnflushed(volumeId, router.shards(operation.volume));
-        }
-        long lastWriteNumber = unflushedWrites.lastWriteNumber();
-        for (int shard : unflushedWrites.shards(volumeId)) {
+        long lastWriteNumber = flushes.lastWriteNumber();
+        for (int shard : flushes.shards(operation.volume)) {
             subRequests.add(RequestSplitter.flush(operation, shard, lastWriteNumber, subRequests.nextId()), now);
         }
     }
@@ -262,6 +250,7 @@
         if (subRequest.completed || attemptIndex >= settings.scheduling().maxAttempts() || now >= timeoutAt) {
             attemptEnded(attempt, Outcome.NOT_STARTED, null);
         } else {
+            unsettledWrites.begin(subRequest, attempt);
             nodes.send(attempt, subRequest.nodeRequest(attemptIndex, timeoutAt));
         }
     }
@@ -298,16 +287,19 @@
 
     /** An attempt ended; {@code answer} is null if the node gave none. */
     public void attemptEnded(NodeAttempt attempt, Outcome outcome, NodeMessage.Answer answer) {
+        if (answer != null || outcome.provesNotExecuted()) {
+            answeredLate(attempt.subRequestId(), attempt.index());
+        }
         SubRequest subRequest = subRequests.find(attempt.subRequestId());
         if (subRequest == null) {
-            reportCompleted(attempt, outcome, true, answer);
+            events.addCompleted(attempt, outcome, true, answer, now);
             return;
         }
         boolean resultPending = outcome == Outcome.OK && !subRequest.completed;
         Outcome checkedOutcome = resultPending ? acceptResult(subRequest, answer) : outcome;
         subRequest.endAttempt(checkedOutcome);
         boolean reroute = shouldReroute(subRequest, answer);
-        reportCompleted(attempt, checkedOutcome, subRequest.completed || reroute, answer);
+        events.addCompleted(attempt, checkedOutcome, subRequest.completed || reroute, answer, now);
         if (reroute) {
             withdraw(subRequest);
             return;
@@ -318,19 +310,6 @@
         }
     }
 
-    private void reportCompleted(NodeAttempt attempt, Outcome outcome, boolean completed, NodeMessage.Answer answer) {
-        events.add(new AttemptCompleted(
-                attempt.subRequestId(),
-                attempt.index(),
-                attempt.node(),
-                outcome,
-                now - attempt.startedAt(),
-                completed,
-                answer == null ? 0 : answer.unitsFromOtherGateways(),
-                answer == null ? 0 : answer.usage(),
-                answer == null ? Map.of() : answer.load()));
-    }
-
     /**
      * Accepts the result of a sub-request; an answer that does not match the request counts as an error of the node.
      */
@@ -339,25 +318,23 @@
             return Outcome.ERROR;
         }
         BlockOperation operation = subRequest.operation;
-        long volume = operation.volume.id();
-        int shard = subRequest.shard;
         subRequests.complete(subRequest);
-        if (operation.op == Op.FLUSH) {
-            unflushedWritesStore.flushed(now);
-            if (!unflushedWrites.recordFlush(volume, shard, answer.incarnation(), subRequest.lastWriteCovered)) {
-                operation.failed(
-                        subRequest,
-                        "the node of shard " + shard + " restarted and lost writes that were answered and not flushed");
-                return Outcome.OK;
-            }
-        }
-        if (operation.op.changesData() && !operation.sync) {
-            unflushedWritesStore.written(unflushedWrites.recordWrite(volume, shard, answer.incarnation()), actions);
+        if (!flushes.executed(subRequest, answer, now, actions)) {
+            operation.failed(
+                    subRequest,
+                    "the node of shard " + subRequest.shard
+                            + " restarted and lost writes that were answered and not flushed");
+            return Outcome.OK;
         }
         operation.served(subRequest, answer.data());
         return Outcome.OK;
     }
 
+    /** A node has answered an attempt, possibly long after it ended: the attempt is over. */
+    public void answeredLate(long subRequestId, int attemptIndex) {
+        unsettledWrites.settle(subRequestId, attemptIndex);
+    }
+
     private static boolean shouldReroute(SubRequest subRequest, NodeMessage.Answer answer) {
         return answer != null
                 && answer.result() == NodeMessage.Result.STALE
@@ -382,7 +359,9 @@
 
     /** When {@link #expire()} must be called next; {@link Long#MAX_VALUE} for never. */
     public long nextDeadline() {
-        return Math.min(Math.min(subRequests.nextReroute(), nextMissedDeadline()), unflushedWritesStore.nextDeadline());
+        return Math.min(
+                Math.min(subRequests.nextReroute(), nextMissedDeadline()),
+                Math.min(flushes.nextDeadline(), unsettledWrites.nextDeadline()));
     }
 
     private long nextMissedDeadline() {
@@ -398,9 +377,8 @@
      * answered despite a defect in the scheduler or a late turn; it is harmless, as the client has given up by then.
      */
     public void expire() {
-        if (now >= unflushedWritesStore.nextDeadline()) {
-            unflushedWritesStore.removeFlushed(unflushedWrites.writtenNodes(), actions);
-        }
+        unsettledWrites.expire();
+        flushes.expire(now, actions);
         if (now >= subRequests.nextReroute()) {
             subRequests.reroute(router);
         }
--- a/core/src/main/java/garnetreel/core/server/rsync/BlockIo.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/BlockIo.java
@@ -66,7 +66,6 @@
                 callback.accept(new Result(reply.data() == null ? ByteBuffer.allocate(0) : reply.data(), null));
                 return;
             }
-            writeOutcomeUnknown |= op == Op.WRITE && reply.status() == ReplyStatus.FAILED;
             long delay = Math.max(
                     MIN_RETRY_DELAY_US,
                     reply.status() == ReplyStatus.REJECTED ? reply.retryAfter() : MIN_RETRY_DELAY_US);
@@ -86,7 +85,6 @@
     private final RsyncServer server;
     private final Set<Operation> inProgress = new LinkedHashSet<>();
     private final Set<Operation> awaitingRetry = new LinkedHashSet<>();
-    private boolean writeOutcomeUnknown;
 
     BlockIo(RsyncServer server) {
         this.server = server;
@@ -106,16 +104,10 @@
         return inProgress.size() + awaitingRetry.size();
     }
 
-    /** Whether a write that failed or was abandoned may still take effect. */
-    boolean writeOutcomeUnknown() {
-        return writeOutcomeUnknown;
-    }
-
     /** Abandons all operations; no callback is invoked any more. */
     void abandon() {
         awaitingRetry.clear();
         for (Operation operation : List.copyOf(inProgress)) {
-            writeOutcomeUnknown |= operation.op == Op.WRITE;
             if (operation.handle != null) {
                 server.backend.abandon(operation.handle);
             }
--- a/core/src/main/java/garnetreel/core/server/rsync/FileCatalogueStore.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/FileCatalogueStore.java
@@ -3,6 +3,7 @@
 import garnetreel.core.GatewaySettings;
 import garnetreel.core.Volume;
 import garnetreel.core.io.NetAction;
+import garnetreel.core.request.WriteSettlement;
 import garnetreel.files.Catalogue;
 import garnetreel.files.FileChange;
 import garnetreel.files.FileEntry;
@@ -20,6 +21,12 @@
     /** Minimum number of changes between two snapshots. */
     private static final int SNAPSHOT_INTERVAL = 2_000;
 
+    /**
+     * Time without a new reservation after which the write intents are ended. A restart within that time withholds the
+     * free space of the regions that were written to.
+     */
+    private static final long INTENTS_IDLE_MICROS = 10_000_000;
+
     /** Records before a snapshot that stay in the journal. */
     private static final int RETAINED_RECORDS = 16;
 
@@ -32,20 +39,29 @@
     /** Something that waits until the changes up to a sequence number are visible. */
     private record DurabilityWaiter(long seq, Runnable done) {}
 
-    private record DelayedRelease(long until, String module, List<Piece> pieces) {}
-
     private final Catalogue catalogue;
     private final Map<String, Volume> volumes = new HashMap<>();
     private final ArrayDeque<FileChange> pendingChanges = new ArrayDeque<>();
     private final ArrayDeque<DurabilityWaiter> durabilityWaiters = new ArrayDeque<>();
-    private final ArrayDeque<DelayedRelease> delayedReleases = new ArrayDeque<>();
+    private final WriteSettlement writes;
     private final long longestTimeLimit;
+    /** When the writes of an earlier process are over; set in the first turn. */
+    private long earlierWritesOverAt = Long.MAX_VALUE;
+
+    private boolean earlierWritesReclaimed;
+    private long lastReservationAt;
+    private long settledWritesSeen;
     private List<NetAction> actions = new ArrayList<>();
     private long now;
     private long nextSnapshotSeq;
 
-    /** Restores the catalogue from the stored snapshot and records. */
-    public FileCatalogueStore(GatewaySettings settings, StoredCatalogue stored) {
+    /**
+     * Restores the catalogue from the stored snapshot and records.
+     *
+     * @param writes tells which writes may still change the volumes
+     */
+    public FileCatalogueStore(GatewaySettings settings, WriteSettlement writes, StoredCatalogue stored) {
+        this.writes = writes;
         List<Catalogue.ModuleVolume> moduleVolumes = new ArrayList<>();
         for (GatewaySettings.Module module : settings.files().modules()) {
             Volume volume = settings.volumes().stream()
@@ -56,7 +72,7 @@
             volumes.put(module.name(), volume);
             moduleVolumes.add(new Catalogue.ModuleVolume(module.name(), volume.id(), volume.size()));
         }
-        catalogue = new Catalogue(moduleVolumes, stored.snapshot(), stored.records());
+        catalogue = new Catalogue(moduleVolumes, stored.snapshot(), stored.records(), this::mayStillChange);
         nextSnapshotSeq = catalogue.seq() + SNAPSHOT_INTERVAL;
         longestTimeLimit = settings.scheduling().classes().stream()
                 .mapToLong(c -> c.timeLimit())
@@ -66,10 +82,22 @@
 
     /** Begins a turn: its time, and where its actions go. */
     public void beginTurn(long time, List<NetAction> turnActions) {
+        if (earlierWritesOverAt == Long.MAX_VALUE) {
+            earlierWritesOverAt = time + longestTimeLimit + writes.maxWriteWork();
+        }
         now = time;
         actions = turnActions;
     }
 
+    /**
+     * Whether a write of this process or an earlier one may still change a piece. The earlier process sent its last
+     * write before this one started, with a deadline of the longest time limit at most.
+     */
+    private boolean mayStillChange(String module, Piece piece) {
+        return writes.mayStillChange(volume(module), piece.offset(), piece.length())
+                || now < earlierWritesOverAt && catalogue.mayHaveBeenWrittenBefore(module, piece);
+    }
+
     /** The catalogue; its visible entries are without changes that are not yet durable. */
     public Catalogue catalogue() {
         return catalogue;
@@ -81,9 +109,15 @@
 
     /** Makes a change durable, then visible. Changes take effect in the order of the calls. */
     void commit(List<FileChange.Name> removed, List<FileEntry> changed) {
-        FileChange change = catalogue.plan(removed, changed);
-        pendingChanges.add(change);
-        actions.add(new NetAction.Append(change.seq(), change.encode()));
+        append(catalogue.plan(removed, changed));
+    }
+
+    /** Appends a planned change to the journal; null for none. */
+    private void append(FileChange change) {
+        if (change != null) {
+            pendingChanges.add(change);
+            actions.add(new NetAction.Append(change.seq(), change.encode()));
+        }
     }
 
     /**
@@ -112,30 +146,58 @@
         }
     }
 
-    /**
-     * Releases space to which writes of unknown outcome were sent, once these can no longer take effect. Otherwise a
-     * write that a node is still executing could overwrite a file that was given the space meanwhile. The space stays
-     * unusable for twice the longest time limit of a request: no node starts the write after the first, and the second
-     * is a margin for work in progress.
-     */
-    void releaseLater(String module, List<Piece> pieces) {
-        if (!pieces.isEmpty()) {
-            delayedReleases.add(new DelayedRelease(now + 2 * longestTimeLimit, module, List.copyOf(pieces)));
+    /** Reserves space for contents on a module's volume; null if it has not enough free space. */
+    List<Piece> reserve(String module, long length) {
+        lastReservationAt = now;
+        List<Piece> pieces = catalogue.reserve(module, length);
+        if (pieces != null) {
+            append(catalogue.planIntents(module, pieces));
+        }
+        return pieces;
+    }
+
+    /** Tells a client that space can't be reserved. */
+    String noSpaceMessage() {
+        String message = "No space left on device (28)";
+        return catalogue.hasWithheldSpace()
+                ? message + "; some is withheld until writes sent earlier are over, try again in a minute"
+                : message;
+    }
+
+    /** Runs {@code write} once it may send writes to reserved pieces. */
+    void whenWritable(String module, List<Piece> pieces, Runnable write) {
+        if (catalogue.mayWrite(module, pieces)) {
+            write.run();
+        } else {
+            whenAllDurable(write);
         }
     }
 
-    /** Releases the space whose delay is over. */
+    /** Gives space free again that earlier writes can't change any more, and ends the write intents of idle modules. */
     public void expire() {
-        while (!delayedReleases.isEmpty() && now >= delayedReleases.peek().until()) {
-            DelayedRelease expired = delayedReleases.poll();
-            catalogue.release(expired.module(), expired.pieces());
+        if (writes.settledWrites() != settledWritesSeen || now >= nextReclaim()) {
+            settledWritesSeen = writes.settledWrites();
+            earlierWritesReclaimed = now >= earlierWritesOverAt;
+            catalogue.reclaim();
         }
+        if (now >= nextEndOfIntents()) {
+            append(catalogue.planEndOfIntents());
+        }
+    }
+
+    /** When space that an earlier process wrote to can be reclaimed. */
+    private long nextReclaim() {
+        return catalogue.hasWithheldSpace() && !earlierWritesReclaimed ? earlierWritesOverAt : Long.MAX_VALUE;
+    }
+
+    private long nextEndOfIntents() {
+        return catalogue.mayEndIntents() && !writes.hasUnsettledWrites()
+                ? lastReservationAt + INTENTS_IDLE_MICROS
+                : Long.MAX_VALUE;
     }
 
     /** When {@link #expire} is due next; {@link Long#MAX_VALUE} if nothing is delayed. */
     public long nextDeadline() {
-        return delayedReleases.isEmpty()
-                ? Long.MAX_VALUE
-                : delayedReleases.peek().until();
+        return Math.min(nextReclaim(), nextEndOfIntents());
     }
 }
--- a/core/src/main/java/garnetreel/core/server/rsync/IncomingFile.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/IncomingFile.java
@@ -44,6 +44,7 @@
     private byte[] actualSum;
     private String error;
     private boolean spaceSettled;
+    private int writesAwaitingIntents;
 
     IncomingFile(
             RsyncSession session,
@@ -70,13 +71,18 @@
         }
     }
 
+    /** Number of reads and writes in progress, or that wait until they may be sent. */
+    private int outstanding() {
+        return session.blockIo.outstanding() + writesAwaitingIntents;
+    }
+
     /** Processes the next token or part of a literal; false while it waits for input or block operations. */
     boolean step() throws RsyncIn.IncompleteInputException, ProtocolException {
-        if (basisReadPending || error == null && session.blockIo.outstanding() >= MAX_OUTSTANDING_OPERATIONS) {
+        if (basisReadPending || error == null && outstanding() >= MAX_OUTSTANDING_OPERATIONS) {
             return false;
         }
         if (endTokenRead) {
-            return expectedSum == null ? readFileSum() : session.blockIo.outstanding() == 0;
+            return expectedSum == null ? readFileSum() : outstanding() == 0;
         }
         if (literalLeft > 0) {
             int chunk = Math.min(literalLeft, Math.min(session.in.size(), WRITE_LENGTH - buffered));
@@ -159,15 +165,25 @@
         if (error != null) {
             return;
         }
-        List<Piece> space = session.server.files.catalogue().reserve(module, data.length);
+        List<Piece> space = session.server.files.reserve(module, data.length);
         if (space == null) {
-            error = "No space left on device (28)";
+            error = session.server.files.noSpaceMessage();
             return;
         }
         size += data.length;
+        pieces.addAll(space);
+        writesAwaitingIntents++;
+        session.server.files.whenWritable(module, space, () -> {
+            writesAwaitingIntents--;
+            if (!spaceSettled) { // else the client has disconnected
+                write(space, data);
+            }
+        });
+    }
+
+    private void write(List<Piece> space, byte[] data) {
         int position = 0;
         for (Piece piece : space) {
-            pieces.add(piece);
             byte[] chunk = Arrays.copyOfRange(data, position, position + (int) piece.length());
             position += chunk.length;
             session.blockIo.write(volume, piece.offset(), chunk, result -> {
@@ -181,7 +197,7 @@
 
     /** Whether the whole file has been received and no write is outstanding. */
     boolean isComplete() {
-        return expectedSum != null && session.blockIo.outstanding() == 0;
+        return expectedSum != null && outstanding() == 0;
     }
 
     String error() {
@@ -215,15 +231,10 @@
         return joined;
     }
 
-    /** Discards the contents: releases their space, delayed if a write may still take effect there. */
+    /** Discards the contents and releases their space. */
     void discard() {
-        if (spaceSettled) {
-            return;
-        }
-        spaceSettled = true;
-        if (session.blockIo.writeOutcomeUnknown()) {
-            session.server.files.releaseLater(module, pieces);
-        } else {
+        if (!spaceSettled) {
+            spaceSettled = true;
             session.server.files.catalogue().release(module, pieces);
         }
     }
--- a/core/src/test/java/garnetreel/core/connection/NodeConnectionPoolTest.java
+++ b/core/src/test/java/garnetreel/core/connection/NodeConnectionPoolTest.java
@@ -43,6 +43,11 @@
                 ended.add(attempt.subRequestId() + "/" + attempt.index() + " " + outcome);
             }
 
+            @Override
+            public void answeredLate(long subRequestId, int attemptIndex) {
+                ended.add(subRequestId + "/" + attemptIndex + " late");
+            }
+
             @Override
             public void healthCheckEnded(HealthCheckCompleted result) {
                 ended.add("check " + result.outcome());
@@ -127,6 +132,19 @@
         assertEquals(List.of("1/0 TIMEOUT", "2/0 RESET"), ended);
     }
 
+    /** The late answer to a write tells that the node does not work on it any more; it is passed on once. */
+    @Test
+    void lateAnswerToAnAttemptWithoutOneIsReportedOnce() {
+        send(1, 500);
+        completeHandshake();
+        pool.beginTurn(500, actions);
+        pool.expire();
+        answer(2);
+        answer(1);
+        answer(1);
+        assertEquals(List.of("1/0 TIMEOUT", "1/0 late"), ended);
+    }
+
     @Test
     void attemptWithoutCapacityIsReportedInTheNextTurn() {
         send(1, 500);
--- a/files/src/main/java/garnetreel/files/ByteRanges.java
+++ b/files/src/main/java/garnetreel/files/ByteRanges.java
@@ -1,5 +1,8 @@
 package garnetreel.files;
 
+import garnetreel.files.FileEntry.Piece;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -37,6 +40,20 @@
         return length > 0 && before != null && before.getKey() + before.getValue() > offset;
     }
 
+    /** The parts of the set within a range, in ascending order. */
+    List<Piece> within(long offset, long length) {
+        List<Piece> parts = new ArrayList<>();
+        Long first = ranges.floorKey(offset);
+        ranges.subMap(first == null ? offset : first, offset + length).forEach((start, size) -> {
+            long from = Math.max(start, offset);
+            long to = Math.min(start + size, offset + length);
+            if (from < to) {
+                parts.add(new Piece(from, to - from));
+            }
+        });
+        return parts;
+    }
+
     /** Adds a range of which the set contains no byte. */
     void add(long offset, long length) {
         if (length == 0) {
--- a/files/src/main/java/garnetreel/files/Catalogue.java
+++ b/files/src/main/java/garnetreel/files/Catalogue.java
@@ -21,6 +21,11 @@
  * <p>Space for contents that are being written is reserved in memory only. A crash releases it, since recovery takes
  * all space as free that no entry occupies. A version that is being read keeps its space until its last reader closes
  * it.
+ *
+ * <p>Space without an owner is given away only when no write sent for its last owner can change it any more, as
+ * {@link PendingWrites} tells. Until then it is withheld; {@link #reclaim} asks again. Before a write is sent, the region
+ * that it goes to has to be recorded by a durable {@link #planIntents change}, so that recovery can withhold what is
+ * free there.
  */
 public final class Catalogue {
 
@@ -40,6 +45,8 @@
      */
     private record PlannedEntry(long seq, FileEntry entry) {}
 
+    private record WithheldPiece(String module, Piece piece) {}
+
     private final TreeMap<Name, FileEntry> entries = new TreeMap<>();
     private final Map<String, VolumeSpace> spaces = new HashMap<>();
     /** The latest planned and not yet applied change of each name. */
@@ -51,6 +58,12 @@
     /** Maps a version that was replaced while it was read to the later version that took over its contents. */
     private final Map<Long, Long> successors = new HashMap<>();
 
+    private final PendingWrites pendingWrites;
+    private final WriteIntents intents = new WriteIntents();
+    /** The intents of an earlier process. */
+    private final WriteIntents recoveredIntents = new WriteIntents();
+
+    private final List<WithheldPiece> withheldPieces = new ArrayList<>();
     private long seq;
     private long lastPlannedSeq;
     private long lastVersion;
@@ -60,14 +73,17 @@
      *
      * @param snapshot the latest snapshot; null for none
      * @param records changes in order; those that the snapshot covers are ignored
+     * @param pendingWrites tells which space must not be given away yet
      * @throws IllegalStateException if the snapshot or a record is damaged, a change is missing, or two entries occupy
      *     the same space; the message says which
      */
-    public Catalogue(List<ModuleVolume> modules, byte[] snapshot, List<byte[]> records) {
+    public Catalogue(List<ModuleVolume> modules, byte[] snapshot, List<byte[]> records, PendingWrites pendingWrites) {
+        this.pendingWrites = pendingWrites;
         if (snapshot != null) {
             CatalogueSnapshot decoded = CatalogueSnapshot.decode(snapshot);
             seq = decoded.seq();
             decoded.entries().forEach(entry -> entries.put(entry.name(), entry));
+            decoded.intents().forEach(intent -> intents.add(intent, seq));
         }
         records.forEach(record -> replay(FileChange.decode(record)));
         lastPlannedSeq = seq;
@@ -79,6 +95,23 @@
                 entry.pieces().forEach(space::assignStored);
             }
         }
+        withholdRecoveredIntents();
+    }
+
+    private void withholdRecoveredIntents() {
+        recoveredIntents.addAll(intents);
+        for (WriteIntent intent : recoveredIntents.all()) {
+            VolumeSpace space = spaces.get(intent.module());
+            if (space != null) {
+                space.withholdFree(intent.region() * WriteIntents.REGION_BYTES, WriteIntents.REGION_BYTES)
+                        .forEach(piece -> withheldPieces.add(new WithheldPiece(intent.module(), piece)));
+            }
+        }
+    }
+
+    /** Whether an earlier process may have sent writes to a piece of a module's volume. */
+    public boolean mayHaveBeenWrittenBefore(String module, Piece piece) {
+        return recoveredIntents.cover(module, piece);
     }
 
     /** Applies a change from the journal, unless the snapshot covers it. */
@@ -89,6 +122,7 @@
         if (change.seq() == seq + 1) {
             change.removed().forEach(entries::remove);
             change.put().forEach(entry -> entries.put(entry.name(), entry));
+            applyIntents(change);
             seq = change.seq();
         }
     }
@@ -142,9 +176,35 @@
         return spaces.get(module).reserve(length);
     }
 
-    /** Frees reserved space that is not used. */
+    /** Ends the reservation of space that is not used. */
     public void release(String module, List<Piece> pieces) {
-        pieces.forEach(spaces.get(module)::release);
+        VolumeSpace space = spaces.get(module);
+        pieces.forEach(piece -> space.release(piece, withhold(module, piece)));
+    }
+
+    /** Whether a piece without an owner has to be withheld; it is noted for {@link #reclaim} then. */
+    private boolean withhold(String module, Piece piece) {
+        if (piece.length() == 0 || !pendingWrites.mayStillChange(module, piece)) {
+            return false;
+        }
+        withheldPieces.add(new WithheldPiece(module, piece));
+        return true;
+    }
+
+    /** Frees the withheld space that no earlier write can change any more. */
+    public void reclaim() {
+        withheldPieces.removeIf(withheld -> {
+            boolean over = !pendingWrites.mayStillChange(withheld.module(), withheld.piece());
+            if (over) {
+                spaces.get(withheld.module()).reclaim(withheld.piece());
+            }
+            return over;
+        });
+    }
+
+    /** Whether space is withheld. */
+    public boolean hasWithheldSpace() {
+        return !withheldPieces.isEmpty();
     }
 
     /** Number of free bytes on a module's volume. */
@@ -171,6 +231,61 @@
         return change;
     }
 
+    /**
+     * Builds the change that records the regions which reserved pieces lie in, as {@link #plan} does; null if all are
+     * recorded or planned.
+     */
+    public FileChange planIntents(String module, List<Piece> pieces) {
+        List<WriteIntent> missing = intents.missing(module, pieces);
+        if (missing.isEmpty()) {
+            return null;
+        }
+        return planIntents(false, missing);
+    }
+
+    /** Whether there are write intents, and no space is reserved or withheld. */
+    public boolean mayEndIntents() {
+        return !intents.isEmpty() && spaces.values().stream().noneMatch(VolumeSpace::hasUnsettledSpace);
+    }
+
+    /**
+     * Builds the change that ends all write intents, as {@link #plan} does. The caller has checked that no write is
+     * pending on any volume.
+     *
+     * @throws IllegalStateException unless {@link #mayEndIntents}
+     */
+    public FileChange planEndOfIntents() {
+        if (!mayEndIntents()) {
+            throw new IllegalStateException("space is reserved or withheld, or there are no write intents");
+        }
+        return planIntents(true, List.of());
+    }
+
+    private FileChange planIntents(boolean clear, List<WriteIntent> added) {
+        FileChange change = new FileChange(++lastPlannedSeq, List.of(), List.of(), clear, added);
+        applyIntents(change);
+        return change;
+    }
+
+    private void applyIntents(FileChange change) {
+        if (change.clearsIntents()) {
+            intents.clear();
+        }
+        change.intents().forEach(intent -> intents.add(intent, change.seq()));
+    }
+
+    /**
+     * Whether writes to reserved pieces may be sent: the change that records their regions is durable.
+     *
+     * @throws IllegalStateException if a region is not even planned
+     */
+    public boolean mayWrite(String module, List<Piece> pieces) {
+        if (!intents.missing(module, pieces).isEmpty()) {
+            throw new IllegalStateException("a write to a region of module " + module + " that is not recorded");
+        }
+        return intents.lastSeq(module, pieces) <= seq;
+    }
+
     private void assignSpace(FileEntry entry) {
         FileEntry current = planned(entry.module(), entry.path());
         boolean keepsContents = current != null && current.pieces().equals(entry.pieces());
@@ -229,7 +344,7 @@
     private void free(FileEntry entry) {
         VolumeSpace space = spaces.get(entry.module());
         if (space != null) {
-            entry.pieces().forEach(space::free);
+            entry.pieces().forEach(piece -> space.unassign(piece, withhold(entry.module(), piece)));
         }
     }
 
@@ -276,6 +391,6 @@
 
     /** Encodes a snapshot of the catalogue. */
     public byte[] snapshot() {
-        return new CatalogueSnapshot(seq, entries.values()).encode();
+        return new CatalogueSnapshot(seq, entries.values(), intents.all()).encode();
     }
 }
--- a/files/src/main/java/garnetreel/files/CatalogueSnapshot.java
+++ b/files/src/main/java/garnetreel/files/CatalogueSnapshot.java
@@ -14,11 +14,11 @@
 
 /**
  * A snapshot of a catalogue. Stored form: magic number, CRC-32C of all that follows, sequence number of the last
- * change, number of entries, entries.
+ * change, number of entries, entries, and if there are any, the write intents.
  *
  * @param seq sequence number of the last change that it includes
  */
-record CatalogueSnapshot(long seq, Collection<FileEntry> entries) {
+record CatalogueSnapshot(long seq, Collection<FileEntry> entries, List<WriteIntent> intents) {
     /** "GRFC". */
     private static final int MAGIC = 0x47524643;
 
@@ -35,6 +35,9 @@
             for (FileEntry entry : entries) {
                 entry.write(out);
             }
+            if (!intents.isEmpty()) {
+                WriteIntent.writeAll(intents, out);
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -59,7 +62,7 @@
             for (int left = in.readInt(); left > 0; left--) {
                 entries.add(FileEntry.read(in));
             }
-            return new CatalogueSnapshot(seq, entries);
+            return new CatalogueSnapshot(seq, entries, WriteIntent.readAll(in));
         } catch (IOException e) {
             throw new IllegalStateException("the snapshot of the file catalogue is truncated", e);
         }
--- a/files/src/main/java/garnetreel/files/FileChange.java
+++ b/files/src/main/java/garnetreel/files/FileChange.java
@@ -10,14 +10,22 @@
 import java.util.List;
 
 /**
- * An atomic change of the catalogue: names that are removed and entries that are added or replaced. Stored as one
- * journal record.
+ * An atomic change of the catalogue: names that are removed, entries that are added or replaced, and regions that writes
+ * may be sent to. Stored as one journal record.
  *
  * @param seq sequence number, from 1
  * @param removed names that are removed, before any entry is put
  * @param put entries that are added, or that replace the entry with the same name
+ * @param clearsIntents whether all write intents recorded so far are over
+ * @param intents write intents that are added after that
  */
-public record FileChange(long seq, List<Name> removed, List<FileEntry> put) {
+public record FileChange(
+        long seq, List<Name> removed, List<FileEntry> put, boolean clearsIntents, List<WriteIntent> intents) {
+
+    /** A change of entries alone. */
+    public FileChange(long seq, List<Name> removed, List<FileEntry> put) {
+        this(seq, removed, put, false, List.of());
+    }
 
     /** Module and path of a file; ordered by module, then by path. */
     public record Name(String module, String path) implements Comparable<Name> {
@@ -42,6 +50,10 @@
             for (FileEntry entry : put) {
                 entry.write(out);
             }
+            if (clearsIntents || !intents.isEmpty()) { // else the record is as older versions wrote it
+                WriteIntent.writeAll(intents, out);
+                out.writeBoolean(clearsIntents);
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -64,7 +76,9 @@
             for (int left = in.readInt(); left > 0; left--) {
                 put.add(FileEntry.read(in));
             }
-            return new FileChange(seq, removed, put);
+            List<WriteIntent> intents = WriteIntent.readAll(in);
+            boolean clearsIntents = in.available() > 0 && in.readBoolean();
+            return new FileChange(seq, removed, put, clearsIntents, intents);
         } catch (IOException e) {
             throw new IllegalStateException("cannot decode a record of the file catalogue: " + e.getMessage(), e);
         }
--- a/files/src/main/java/garnetreel/files/VolumeSpace.java
+++ b/files/src/main/java/garnetreel/files/VolumeSpace.java
@@ -6,10 +6,10 @@
 import java.util.Map;
 
 /**
- * The owners of the blocks of one volume. A block is free, reserved for contents that are being written, or assigned to
- * the contents of one file. It has one owner at a time: each transition below checks the state that it starts from and
- * fails with an {@link IllegalStateException} otherwise, before anything is changed or stored. Space is allocated first
- * fit.
+ * The owners of the blocks of one volume. A block is free, reserved for contents that are being written, assigned to the
+ * contents of one file, or withheld: it has no owner, but a write that was sent for the last one may still change it. It
+ * is in one of these states at a time: each transition below checks the state that it starts from and fails with an
+ * {@link IllegalStateException} otherwise, before anything is changed or stored. Space is allocated first fit.
  */
 final class VolumeSpace {
     /** Allocations are whole blocks, so that no two files share a block. */
@@ -18,6 +18,7 @@
     private final long usableBytes;
     private final ByteRanges free = new ByteRanges();
     private final ByteRanges reserved = new ByteRanges();
+    private final ByteRanges withheld = new ByteRanges();
 
     /** Begins with the whole volume free, rounded down to blocks. */
     VolumeSpace(long volumeBytes) {
@@ -73,28 +74,49 @@
         pieces.forEach(piece -> reserved.remove(piece.offset(), roundUpToBlocks(piece.length())));
     }
 
-    /** Frees a reserved piece. */
-    void release(Piece piece) {
+    /** Ends the reservation of a piece. */
+    void release(Piece piece, boolean withhold) {
         long length = roundUpToBlocks(piece.length());
         check(reserved.contains(piece.offset(), length), piece);
         reserved.remove(piece.offset(), length);
-        free.add(piece.offset(), length);
+        (withhold ? withheld : free).add(piece.offset(), length);
+    }
+
+    /** Takes a piece from the file that it was assigned to. */
+    void unassign(Piece piece, boolean withhold) {
+        long length = roundUpToBlocks(piece.length());
+        check(isAssigned(piece.offset(), length), piece);
+        (withhold ? withheld : free).add(piece.offset(), length);
     }
 
-    /** Frees a piece that was assigned to a file. */
-    void free(Piece piece) {
-        checkAssigned(piece);
-        free.add(piece.offset(), roundUpToBlocks(piece.length()));
+    private boolean isAssigned(long offset, long length) {
+        return !free.intersects(offset, length)
+                && !reserved.intersects(offset, length)
+                && !withheld.intersects(offset, length)
+                && offset + length <= usableBytes;
     }
 
-    /** Checks that a piece is assigned to a file. */
-    void checkAssigned(Piece piece) {
+    /** Frees a withheld piece. */
+    void reclaim(Piece piece) {
         long length = roundUpToBlocks(piece.length());
-        check(
-                !free.intersects(piece.offset(), length)
-                        && !reserved.intersects(piece.offset(), length)
-                        && piece.offset() + length <= usableBytes,
-                piece);
+        check(withheld.contains(piece.offset(), length), piece);
+        withheld.remove(piece.offset(), length);
+        free.add(piece.offset(), length);
+    }
+
+    /** Withholds the free space within a range, and returns it. */
+    List<Piece> withholdFree(long offset, long length) {
+        List<Piece> pieces = free.within(offset, length);
+        for (Piece piece : pieces) {
+            free.remove(piece.offset(), piece.length());
+            withheld.add(piece.offset(), piece.length());
+        }
+        return pieces;
+    }
+
+    /** Whether space is reserved or withheld. */
+    boolean hasUnsettledSpace() {
+        return reserved.totalBytes() > 0 || withheld.totalBytes() > 0;
     }
 
     /** Assigns a piece of a stored entry, which must be free, when the catalogue is recovered. */
--- a/files/src/test/java/garnetreel/files/CatalogueTest.java
+++ b/files/src/test/java/garnetreel/files/CatalogueTest.java
@@ -1,14 +1,18 @@
 package garnetreel.files;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import garnetreel.files.FileChange.Name;
 import garnetreel.files.FileEntry.Piece;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
@@ -17,7 +21,7 @@
     private static final long SIZE = 1 << 20;
     private static final List<Catalogue.ModuleVolume> MODULES = List.of(new Catalogue.ModuleVolume("pages", 9, SIZE));
 
-    private final Catalogue catalogue = new Catalogue(MODULES, null, List.of());
+    private final Catalogue catalogue = new Catalogue(MODULES, null, List.of(), PendingWrites.NONE);
     private final List<byte[]> journal = new ArrayList<>();
 
     private FileEntry file(String path, long size) {
@@ -57,7 +61,10 @@
         for (int crash = 0; crash < states.size(); crash++) {
             for (int snapshot = 0; snapshot <= crash; snapshot += 17) {
                 Catalogue recovered = new Catalogue(
-                        MODULES, snapshots.get(snapshot), journal.subList(Math.max(0, snapshot - 3), crash));
+                        MODULES,
+                        snapshots.get(snapshot),
+                        journal.subList(Math.max(0, snapshot - 3), crash),
+                        PendingWrites.NONE);
                 assertEquals(states.get(crash), recovered.entriesBelow("pages", ""), "crash after change " + crash);
                 long used = recovered.entriesBelow("pages", "").stream()
                         .mapToLong(e -> (e.size() + 4095) / 4096 * 4096)
@@ -114,10 +121,11 @@
         put(file("c", 100));
         assertThrows(
                 IllegalStateException.class,
-                () -> new Catalogue(MODULES, null, List.of(journal.get(0), journal.get(2))));
+                () -> new Catalogue(MODULES, null, List.of(journal.get(0), journal.get(2)), PendingWrites.NONE));
         byte[] snapshot = catalogue.snapshot();
         snapshot[20] ^= 1;
-        assertThrows(IllegalStateException.class, () -> new Catalogue(MODULES, snapshot, List.of()));
+        assertThrows(
+                IllegalStateException.class, () -> new Catalogue(MODULES, snapshot, List.of(), PendingWrites.NONE));
         FileEntry a = catalogue.get("pages", "a");
         FileEntry overlapping = new FileEntry("pages", "z", 9, a.mode(), a.size(), 1, a.md5(), a.pieces(), "");
         assertThrows(
@@ -125,7 +133,8 @@
                 () -> new Catalogue(
                         MODULES,
                         catalogue.snapshot(),
-                        List.of(new FileChange(4, List.of(), List.of(overlapping)).encode())));
+                        List.of(new FileChange(4, List.of(), List.of(overlapping)).encode()),
+                        PendingWrites.NONE));
     }
 
     @Test
@@ -171,4 +180,50 @@
         catalogue.apply(again);
         assertEquals(20, catalogue.get("pages", "a").size());
     }
+
+    /** Blocks without an owner stay out of use while a write sent for the last one may still change them. */
+    @Test
+    void spaceIsWithheldWhileAnEarlierWriteMayStillChangeIt() {
+        Set<Long> pendingOffsets = new HashSet<>();
+        Catalogue guarded =
+                new Catalogue(MODULES, null, List.of(), (module, piece) -> pendingOffsets.contains(piece.offset()));
+        List<Piece> first = guarded.reserve("pages", 4096);
+        List<Piece> second = guarded.reserve("pages", 4096);
+        pendingOffsets.add(first.get(0).offset());
+        guarded.release("pages", first);
+        guarded.release("pages", second);
+        assertEquals(SIZE - 4096, guarded.free("pages"));
+        assertEquals(second, guarded.reserve("pages", 4096));
+        guarded.reclaim();
+        assertEquals(SIZE - 8192, guarded.free("pages"));
+        pendingOffsets.clear();
+        guarded.reclaim();
+        assertEquals(SIZE - 4096, guarded.free("pages"));
+    }
+
+    /** After a crash, what is free in a region that was written to is withheld; other regions are usable. */
+    @Test
+    void recoveryWithholdsTheFreeSpaceOfRegionsThatWereWrittenTo() {
+        List<Catalogue.ModuleVolume> large = List.of(new Catalogue.ModuleVolume("pages", 9, 3 * SIZE));
+        Catalogue crashed = new Catalogue(large, null, List.of(), PendingWrites.NONE);
+        List<Piece> pieces = crashed.reserve("pages", 5000);
+        assertThrows(IllegalStateException.class, () -> crashed.mayWrite("pages", pieces));
+        FileChange intents = crashed.planIntents("pages", pieces);
+        assertNull(crashed.planIntents("pages", pieces), "recorded twice");
+        assertFalse(crashed.mayWrite("pages", pieces), "before the record is durable");
+        crashed.apply(intents);
+        assertTrue(crashed.mayWrite("pages", pieces));
+        byte[] snapshot = crashed.snapshot();
+        for (Catalogue recovered : List.of(
+                new Catalogue(large, null, List.of(intents.encode()), (module, piece) -> true),
+                new Catalogue(large, snapshot, List.of(), (module, piece) -> true))) {
+            assertEquals(2 * SIZE, recovered.free("pages"));
+            assertFalse(recovered.mayEndIntents());
+        }
+        crashed.release("pages", pieces);
+        FileChange end = crashed.planEndOfIntents();
+        crashed.apply(end);
+        Catalogue idle = new Catalogue(large, null, List.of(intents.encode(), end.encode()), (module, piece) -> true);
+        assertEquals(3 * SIZE, idle.free("pages"));
+    }
 }
