An id that comes again after its client left does not run a second time

Cause: the gateway knew the ids of its active requests only, and forgot a request whose client had left with the end of its last attempt.

Why this works: clients send a fresh id with every request, retries included, so the same id is the same request; 409 is a failure, which promises nothing on its effect.

Test: PlatformGatewayRequestsTest.aCorrelationIdInUseIsRejected ended with a check that wanted just this second run of a class "once". It now wants a third 409 and no further request; a new test wants a repeatable class accepted again.

--- a/core/src/main/java/garnetreel/core/platform/HttpRequestRegistry.java
+++ b/core/src/main/java/garnetreel/core/platform/HttpRequestRegistry.java
@@ -10,6 +10,8 @@
 import garnetreel.policy.action.FailRequest;
 import garnetreel.policy.action.RejectRequest;
 import garnetreel.policy.action.SendAttempt;
+import garnetreel.policy.config.Idempotency;
+import garnetreel.policy.config.RequestClass;
 import garnetreel.policy.event.AttemptCompleted;
 import garnetreel.policy.event.Outcome;
 import garnetreel.policy.event.RequestCancelled;
@@ -21,8 +23,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * Tracks each request from the receipt of its last byte to its final response and the end of its last attempt. Each
@@ -50,13 +54,24 @@
         int attemptsInFlight;
         /** Whether it has been answered or its client has disconnected. */
         boolean completed;
+        /** Whether an attempt may have been executed. */
+        boolean mayHaveRun;
 
-        ActiveRequest(long id, String correlationId, long connectionId, HttpRequest message, long deadline) {
+        final boolean repeatable;
+
+        ActiveRequest(
+                long id,
+                String correlationId,
+                long connectionId,
+                HttpRequest message,
+                long deadline,
+                boolean repeatable) {
             this.id = id;
             this.correlationId = correlationId;
             this.connectionId = connectionId;
             this.message = message;
             this.deadline = deadline;
+            this.repeatable = repeatable;
         }
     }
 
@@ -73,6 +88,10 @@
     private final Map<Long, ActiveRequest> byConnection = new HashMap<>();
     private final TreeSet<ActiveRequest> byDeadline = new TreeSet<>(
             Comparator.<ActiveRequest>comparingLong(r -> r.deadline).thenComparingLong(r -> r.id));
+    private final ExecutedRequestIds executedIds = new ExecutedRequestIds();
+    /** Names of the classes whose requests may be executed more than once. */
+    private final Set<String> repeatableClasses;
+
     private List<NetAction> actions = new ArrayList<>();
     private long now;
     private int bodyBytes;
@@ -92,6 +111,10 @@
         this.counters = counters;
         this.decoder = new RequestDecoder(settings.scheduling());
         this.responses = new HttpResponses(settings.retryAfterAllowed());
+        this.repeatableClasses = settings.scheduling().classes().stream()
+                .filter(c -> c.idempotency() == Idempotency.IDEMPOTENT)
+                .map(RequestClass::name)
+                .collect(Collectors.toSet());
     }
 
     /**
@@ -120,6 +143,9 @@
         DecodedRequest decoded;
         try {
             decoded = decoder.decode(message, receivedAt, byCorrelationId.keySet());
+            if (executedIds.contains(decoded.correlationId())) {
+                throw new InvalidRequestException(HttpResponses.CONFLICT, "a request of this id may have run already");
+            }
         } catch (InvalidRequestException e) {
             counters.count(GatewayCounters.Event.REQUEST_INVALID);
             clients.respond(
@@ -133,7 +159,13 @@
             return;
         }
         RequestReceived event = decoded.event();
-        add(new ActiveRequest(event.id(), decoded.correlationId(), connectionId, message, event.deadline()));
+        add(new ActiveRequest(
+                event.id(),
+                decoded.correlationId(),
+                connectionId,
+                message,
+                event.deadline(),
+                repeatableClasses.contains(event.className())));
         schedulerEvents.accept(event);
     }
 
@@ -222,6 +254,9 @@
         if (request.completed && request.attemptsInFlight == 0 && byId.remove(request.id) != null) {
             bodyBytes -= request.message.body().length;
             byCorrelationId.remove(request.correlationId);
+            if (request.mayHaveRun && !request.repeatable) {
+                executedIds.add(request.correlationId);
+            }
         }
     }
 
@@ -241,6 +276,7 @@
     void attemptCompleted(UpstreamAttempt attempt, Outcome outcome, HttpResponse response) {
         ActiveRequest request = byId.get(attempt.requestId);
         request.attemptsInFlight--;
+        request.mayHaveRun |= !outcome.provesNotExecuted();
         boolean completedBefore = request.completed;
         if (!completedBefore && outcome == Outcome.OK) {
             counters.count(GatewayCounters.Event.REQUEST_SERVED);
--- a/core/src/test/java/garnetreel/core/platform/PlatformGatewayRequestsTest.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformGatewayRequestsTest.java
@@ -133,6 +133,21 @@
                 harness.writtenTo(2).split("409", -1).length - 1,
                 "the attempt of the disconnected client is still in flight");
         harness.receive(harness.lastOpenedConnection, response("result", "")).receive(2, request(REQUEST_ID, ""));
+        assertEquals(
+                3,
+                harness.writtenTo(2).split("409", -1).length - 1,
+                "the attempt of the disconnected client has been executed");
+        assertEquals(1, harness.notified(RequestReceived.class).size());
+    }
+
+    /** An id that comes again is accepted if nothing can have been executed, or if its class may run again. */
+    @Test
+    void aCorrelationIdOfARepeatableRequestIsAcceptedAgain() throws JsonException {
+        PlatformGatewayHarness harness = new PlatformGatewayHarness(PlatformGatewayHarness::sendToUpstream);
+        String read = request(REQUEST_ID, "").replace("PUT /write", "GET /read");
+        harness.accept(1).receive(1, read).deliver(new NetEvent.Connected(harness.lastOpenedConnection));
+        harness.receive(harness.lastOpenedConnection, response("result", ""));
+        harness.accept(2).receive(2, read);
         assertEquals(2, harness.notified(RequestReceived.class).size());
     }
 
