Requests received in part are bounded; no buffer may take more than its part of the heap

Cause: what parsers hold counted towards no bound, and the other bounds were shares of memory_mb while the heap is 64 MiB whatever that is.

Change: parsers tell what they hold; past the bound the request that has been coming for longest is refused with 503, within the turn. All five kinds of buffered bytes are bounded by an eighth of the heap as well, a response by its 32nd part.

Why this works: a usual client's request comes in one or few reads and is never the oldest; the sum of the bounds is five eighths of the heap.

--- a/cli/src/main/java/garnetreel/cli/PlatformMain.java
+++ b/cli/src/main/java/garnetreel/cli/PlatformMain.java
@@ -126,7 +126,8 @@
             throw new IOException(file + ": " + e.getMessage(), e);
         }
         FairQueueScheduler scheduler = new FairQueueScheduler(settings.scheduling(), settings.seed());
-        EventLoop eventLoop = process.run("head", wrapper.apply(new PlatformGateway(settings, scheduler)));
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        EventLoop eventLoop = process.run("head", wrapper.apply(new PlatformGateway(settings, scheduler, heapBytes)));
         log.info("{} listens on {}", settings.name(), ServiceProcess.bound(eventLoop, PlatformGateway.CLIENT_LISTENER));
         return eventLoop;
     }
--- a/cli/src/test/java/garnetreel/cli/PlatformProcess.java
+++ b/cli/src/test/java/garnetreel/cli/PlatformProcess.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -46,9 +48,12 @@
                 "env",
                 signals,
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
+                "-XX:-UsePerfData",
                 "-Xmx64m",
                 "-Xss256k",
+                "-XX:MaxDirectMemorySize=8m",
                 "-Dlogback.configurationFile=" + logging,
                 "-cp",
                 classes,
@@ -85,6 +90,13 @@
         throw new AssertionError("no log line matches " + pattern + "; logged:\n" + before);
     }
 
+    /** The log lines that nobody has waited for yet. */
+    String remainingLog() {
+        List<String> lines = new ArrayList<>();
+        log.drainTo(lines);
+        return String.join("\n", lines);
+    }
+
     /** The next log line; null if none comes for a time. */
     String nextLogLine(int seconds) throws InterruptedException {
         return log.poll(seconds, TimeUnit.SECONDS);
@@ -96,6 +108,16 @@
                 .waitFor();
     }
 
+    /** The largest resident memory that the process has had. */
+    long peakResidentBytes() throws IOException {
+        String status = Files.readString(Path.of("/proc", Long.toString(process.pid()), "status"));
+        Matcher peak = Pattern.compile("VmHWM:\\s+(\\d+) kB").matcher(status);
+        if (!peak.find()) {
+            throw new IOException("no resident memory in " + status);
+        }
+        return Long.parseLong(peak.group(1)) << 10;
+    }
+
     /** Waits for the end of the process; returns its exit code. */
     int awaitExit() throws InterruptedException {
         if (!process.waitFor(WAIT_SECONDS, TimeUnit.SECONDS)) {
--- a/codec/src/main/java/garnetreel/codec/http/BodyReader.java
+++ b/codec/src/main/java/garnetreel/codec/http/BodyReader.java
@@ -146,6 +146,11 @@
         return size;
     }
 
+    /** Memory that the body takes so far, in bytes. */
+    int heldBytes() {
+        return body.length;
+    }
+
     /** Removes and returns the bytes received so far. */
     byte[] take() {
         byte[] bytes = size == body.length ? body : Arrays.copyOf(body, size);
--- a/codec/src/main/java/garnetreel/codec/http/HeadReader.java
+++ b/codec/src/main/java/garnetreel/codec/http/HeadReader.java
@@ -13,6 +13,8 @@
 final class HeadReader {
     private static final int INITIAL_CAPACITY = 512;
     private static final byte DELETE = 0x7f;
+    /** Memory that a field takes besides its characters: two strings with their arrays. */
+    private static final int FIELD_OVERHEAD_BYTES = 112;
 
     private final int maxBytes;
     private final int maxFields;
@@ -102,6 +104,11 @@
         return fields;
     }
 
+    /** Memory that the head takes so far, in bytes: what was received, and the fields made of it. */
+    int heldBytes() {
+        return bytes.length + lineStart + fields.size() * FIELD_OVERHEAD_BYTES;
+    }
+
     /** Prepares for the next head. */
     void reset() {
         bytes = new byte[0];
--- a/codec/src/main/java/garnetreel/codec/http/HttpRequestParser.java
+++ b/codec/src/main/java/garnetreel/codec/http/HttpRequestParser.java
@@ -49,6 +49,11 @@
         return head.hasStarted();
     }
 
+    /** Memory that the request received in part takes, in bytes. */
+    public int heldBytes() {
+        return head.heldBytes() + (body == null ? 0 : body.heldBytes());
+    }
+
     private void parseStartLine(String line) throws ProtocolException {
         int firstSpace = line.indexOf(' ');
         int lastSpace = line.lastIndexOf(' ');
--- a/core/src/main/java/garnetreel/core/platform/HttpClientConnection.java
+++ b/core/src/main/java/garnetreel/core/platform/HttpClientConnection.java
@@ -35,8 +35,10 @@
     boolean closeAfterResponse;
     /** Bytes of the response that have not been written to the client's socket. */
     int unsentBytes;
+    /** Memory of the partial request, as it was last added to that of all connections. */
+    int accountedPartialBytes;
 
-    private final HttpRequestParser parser = new HttpRequestParser();
+    private HttpRequestParser parser = new HttpRequestParser();
     private final ArrayDeque<ReceivedBytes> pendingInput = new ArrayDeque<>(1);
     private State state = State.AWAITING_REQUEST;
     private long stateSince;
@@ -130,6 +132,16 @@
         pendingInput.clear();
     }
 
+    /** Memory of the request received in part, in bytes. */
+    int partialRequestBytes() {
+        return parser.heldBytes();
+    }
+
+    /** Discards the request received in part; no further one is parsed. */
+    void discardPartialRequest() {
+        parser = new HttpRequestParser();
+    }
+
     // ---------------------------------------------------------------- requests over the input limit
 
     /** Whether requests are only counted, to be rejected later. */
--- a/core/src/main/java/garnetreel/core/platform/HttpClientConnections.java
+++ b/core/src/main/java/garnetreel/core/platform/HttpClientConnections.java
@@ -56,6 +56,8 @@
     private int unsentBytes;
 
     private int pendingInputBytes;
+    /** Memory of all requests that have been received in part. */
+    private long partialRequestBytes;
 
     HttpClientConnections(ResourceLimits limits, GatewayCounters counters, Listener listener) {
         this.limits = limits;
@@ -127,6 +129,7 @@
         unsentBytes -= connection.unsentBytes;
         connection.unsentBytes = 0;
         discardInput(connection);
+        discardPartialRequest(connection);
         connections.remove(connection);
     }
 
@@ -135,6 +138,18 @@
         connection.discardInput();
     }
 
+    private void discardPartialRequest(HttpClientConnection connection) {
+        connection.discardPartialRequest();
+        accountPartialRequest(connection);
+    }
+
+    /** Updates the memory of all partial requests after that of one connection may have changed. */
+    private void accountPartialRequest(HttpClientConnection connection) {
+        int bytes = connection.partialRequestBytes();
+        partialRequestBytes += bytes - connection.accountedPartialBytes;
+        connection.accountedPartialBytes = bytes;
+    }
+
     // ---------------------------------------------------------------- requests
 
     @Override
@@ -145,14 +160,17 @@
         }
         if (connection.overInputLimit()) {
             connection.countRequests(data, receivedAt);
+            accountPartialRequest(connection);
             return;
         }
         pendingInputBytes += data.remaining();
         connection.addInput(data, receivedAt);
         readRequests(connection);
+        limitPartialRequests(); // at once: a turn may bring parts of requests on every connection
         if (connection.pendingInputBytes() > MAX_PENDING_INPUT_BYTES || pendingInputBytes > limits.maxBufferedBytes()) {
             pendingInputBytes -= connection.pendingInputBytes();
             connection.enterOverInputLimit(receivedAt);
+            accountPartialRequest(connection);
         }
     }
 
@@ -173,6 +191,7 @@
         long inputReceivedAt = connection.nextInputReceivedAt();
         int bytesBefore = connection.pendingInputBytes();
         HttpRequest request = connection.parseNext();
+        accountPartialRequest(connection);
         pendingInputBytes -= bytesBefore - connection.pendingInputBytes();
         if (request != null) {
             connections.move(connection, State.PROCESSING, now);
@@ -232,6 +251,7 @@
             response.field("Connection", "close");
             connection.closeAfterResponse = true;
             discardInput(connection);
+            discardPartialRequest(connection);
         }
         ByteBuffer responseBytes = response.body(body, true);
         connection.unsentBytes = responseBytes.remaining();
@@ -334,6 +354,17 @@
         }
     }
 
+    /** While requests received in part take too much memory, rejects the one that has been coming for longest. */
+    private void limitPartialRequests() {
+        HttpClientConnection oldest = connections.oldest(State.READING_REQUEST);
+        while (partialRequestBytes > limits.maxBufferedBytes() && oldest != null) {
+            counters.count(Event.REQUEST_REJECTED_OVER_LIMIT);
+            oldest.closeAfterResponse = true;
+            write(oldest, HttpWriter.response(HttpResponses.SERVICE_UNAVAILABLE), HttpResponses.NO_BODY);
+            oldest = connections.oldest(State.READING_REQUEST);
+        }
+    }
+
     private void handleTimeout(HttpClientConnection connection) {
         State state = connection.state();
         if (state == State.WRITING_RESPONSE || state == State.CLOSING) {
--- a/core/src/main/java/garnetreel/core/platform/PlatformGateway.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformGateway.java
@@ -71,11 +71,20 @@
 
     private boolean stopped;
 
-    /** Creates a gateway; it opens its listening socket in the first call of {@link #handle}. */
+    /** Creates a gateway whose heap is no narrower limit than its settings. */
     public PlatformGateway(PlatformSettings settings, Scheduler scheduler) {
+        this(settings, scheduler, Long.MAX_VALUE);
+    }
+
+    /**
+     * Creates a gateway; it opens its listening socket in the first call of {@link #handle}.
+     *
+     * @param heapBytes size of the heap that it runs in
+     */
+    public PlatformGateway(PlatformSettings settings, Scheduler scheduler, long heapBytes) {
         this.settings = settings;
         this.scheduler = new SchedulerDriver(scheduler, this);
-        this.limits = ResourceLimits.of(settings.limits());
+        this.limits = ResourceLimits.of(settings.limits(), heapBytes);
         ConnectionIdAllocator connectionIds = new ConnectionIdAllocator();
         clients = new HttpClientConnections(limits, counters, new ClientListener());
         upstreams = new UpstreamConnectionPool(settings, limits, connectionIds, counters, new UpstreamListener());
--- a/core/src/main/java/garnetreel/core/platform/ResourceLimits.java
+++ b/core/src/main/java/garnetreel/core/platform/ResourceLimits.java
@@ -9,12 +9,14 @@
  * a partial request.
  * <li>Upstream connections: an idle one is closed; if there is none, the attempt is not started.
  * <li>Requests: the new request is rejected.
+ * <li>Requests received in part: the one that has been coming for longest is rejected.
  * </ul>
  *
  * @param maxClients connections from clients
  * @param maxUpstreamConnections connections to endpoints, established or being established
  * @param maxRequests active requests, including those whose client has disconnected while an attempt is in flight
- * @param maxBufferedBytes bytes that may be buffered of each of four kinds: client input that waits to be parsed (above
+ * @param maxBufferedBytes bytes that may be buffered of each of five kinds: requests received in part
+ *     (the oldest is rejected), client input that waits to be parsed (above
  *     the limit, further requests on the connection are counted and rejected), request bodies (the request is
  *     rejected), responses being received (the response counts as malformed), and unread responses (the client whose
  *     response has waited longest is disconnected)
@@ -48,10 +50,14 @@
     private static final int MAX_MEMORY_MB = 1024;
 
     private static final int MB_SHIFT = 20;
-    /** Each of the four kinds of buffered bytes may use 1/16 of the memory. */
+    /** Each of the five kinds of buffered bytes may use 1/16 of the memory. */
     private static final int BUFFER_DIVISOR = 16;
     /** One response may use 1/64 of the memory. */
     private static final int RESPONSE_DIVISOR = 64;
+    /** The heap may be smaller than the memory of the process allows: no kind of buffered bytes may use more of it. */
+    private static final int HEAP_BUFFER_DIVISOR = 8;
+
+    private static final int HEAP_RESPONSE_DIVISOR = 32;
 
     /**
      * Maximum number of client sockets open at once, including those that the gateway has not been notified of yet and
@@ -62,8 +68,12 @@
         return maxClients + MAX_CLIENTS_OVER_LIMIT;
     }
 
-    /** Computes the division from the limits of the process. */
-    static ResourceLimits of(PlatformSettings.Limits limits) {
+    /**
+     * Computes the division from the limits of the process.
+     *
+     * @param heapBytes size of the heap, which holds all that is buffered
+     */
+    static ResourceLimits of(PlatformSettings.Limits limits, long heapBytes) {
         int availableDescriptors = limits.fileDescriptors() - RESERVED_DESCRIPTORS;
         int maxUpstreamConnections = Math.max(MIN_CONNECTIONS, availableDescriptors / UPSTREAM_DIVISOR);
         int maxClients = Math.max(MIN_CONNECTIONS, availableDescriptors - maxUpstreamConnections);
@@ -72,7 +82,7 @@
                 maxClients,
                 maxUpstreamConnections,
                 REQUESTS_PER_CLIENT * maxClients,
-                memoryBytes / BUFFER_DIVISOR,
-                memoryBytes / RESPONSE_DIVISOR);
+                (int) Math.min(memoryBytes / BUFFER_DIVISOR, heapBytes / HEAP_BUFFER_DIVISOR),
+                (int) Math.min(memoryBytes / RESPONSE_DIVISOR, heapBytes / HEAP_RESPONSE_DIVISOR));
     }
 }
--- a/core/src/test/java/garnetreel/core/platform/EndpointListReceiverTest.java
+++ b/core/src/test/java/garnetreel/core/platform/EndpointListReceiverTest.java
@@ -53,7 +53,7 @@
         PlatformSettings settings = UpstreamTestData.settings();
         pool = new UpstreamConnectionPool(
                 settings,
-                ResourceLimits.of(settings.limits()),
+                ResourceLimits.of(settings.limits(), Long.MAX_VALUE),
                 new ConnectionIdAllocator(),
                 new GatewayCounters(),
                 new NoAttemptsListener());
