NBD clients that stop within a payload are closed, and small requests don't wait for them

Cause: a payload is reserved in the byte budget before it is read, without a limit of the time for which it may be coming; past twice the budget every other request waited.

Change: 2.5 s without a byte of a payload end the connection; while others wait for the budget, so do a payload below 1 MiB a second and replies that are not read. An eighth of the budget is kept for requests of up to 128 KiB of connections that hold nothing.

Why this works: what holds the budget makes progress or ends within 3 s, and a usual request finds room meanwhile.

--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenNbdClient.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenNbdClient.java
@@ -31,6 +31,7 @@
     private final long connectionId;
     private boolean greeted;
     private boolean transmitting;
+    private boolean closed;
     private long lastCookie;
 
     DrivenNbdClient(DrivenGateway gateway, String export) {
@@ -55,6 +56,21 @@
         return send(Nbd.CMD_WRITE, offset, data.length, data);
     }
 
+    /** Sends the header of a write and the beginning of its data. */
+    void beginWrite(long offset, int length, int sent) {
+        gateway.send(connectionId, request(Nbd.CMD_WRITE, ++lastCookie, offset, length, new byte[sent]));
+    }
+
+    /** Sends further data of a write. */
+    void continueWrite(int bytes) {
+        gateway.send(connectionId, ByteBuffer.allocate(bytes));
+    }
+
+    /** Whether the gateway has closed the connection. */
+    boolean isClosed() {
+        return closed;
+    }
+
     /** Sends a read and returns its cookie. */
     long read(long offset, int length) {
         return send(Nbd.CMD_READ, offset, length, new byte[0]);
@@ -68,20 +84,22 @@
     private long send(int type, long offset, int length, byte[] data) {
         long cookie = ++lastCookie;
         readLengths.put(cookie, type == Nbd.CMD_READ ? length : 0);
-        gateway.send(
-                connectionId,
-                ByteBuffer.allocate(28 + data.length)
-                        .putInt(Nbd.REQUEST_MAGIC)
-                        .putShort((short) 0)
-                        .putShort((short) type)
-                        .putLong(cookie)
-                        .putLong(offset)
-                        .putInt(length)
-                        .put(data)
-                        .flip());
+        gateway.send(connectionId, request(type, cookie, offset, length, data));
         return cookie;
     }
 
+    private static ByteBuffer request(int type, long cookie, long offset, int length, byte[] data) {
+        return ByteBuffer.allocate(28 + data.length)
+                .putInt(Nbd.REQUEST_MAGIC)
+                .putShort((short) 0)
+                .putShort((short) type)
+                .putLong(cookie)
+                .putLong(offset)
+                .putInt(length)
+                .put(data)
+                .flip();
+    }
+
     /** The reply to a request; null while there is none. */
     Reply reply(long cookie) {
         return replies.get(cookie);
@@ -89,7 +107,7 @@
 
     @Override
     public void closed() {
-        // the tests see it as missing replies
+        closed = true;
     }
 
     @Override
@@ -124,7 +142,7 @@
         }
         int error = (int) input.peekInt(Integer.BYTES, Integer.BYTES);
         long cookie = input.peekInt(COOKIE_OFFSET, Long.BYTES);
-        int length = error == 0 ? readLengths.get(cookie) : 0;
+        int length = error == 0 ? readLengths.getOrDefault(cookie, 0) : 0;
         if (input.size() < SIMPLE_REPLY_LENGTH + length) {
             return false;
         }
--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenSettings.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenSettings.java
@@ -23,6 +23,10 @@
                 service {
                   heads = 1
                 }
+                bounds {
+                  head_bytes = "1MiB"
+                  payload    = "256KiB"
+                }
                 class "read" {
                   aim = "1s"
                   deadline = "2s"
--- a/codec/src/main/java/garnetreel/codec/nbd/NbdRequestParser.java
+++ b/codec/src/main/java/garnetreel/codec/nbd/NbdRequestParser.java
@@ -61,6 +61,11 @@
         return receivedBytes == payload.length;
     }
 
+    /** Number of bytes received of the payload that is kept. */
+    public int receivedPayloadBytes() {
+        return receivedBytes;
+    }
+
     /** Removes and returns the payload; null if it was skipped. */
     public byte[] takePayload() {
         byte[] complete = payload;
--- a/core/src/main/java/garnetreel/core/server/ByteBudget.java
+++ b/core/src/main/java/garnetreel/core/server/ByteBudget.java
@@ -10,7 +10,8 @@
  *
  * <p>A connection that holds no bytes may exceed the limit with one request while less than twice the limit is
  * reserved, so that a request larger than the limit is served eventually. So requests find less than twice the limit
- * reserved and add one payload at most; the bytes of replies are reserved even beyond that.
+ * reserved and add one payload at most; the bytes of replies are reserved even beyond that. A further part of the limit
+ * is for small requests of connections that hold nothing else, which need not wait for those with large ones.
  */
 public final class ByteBudget {
     /** Is notified when capacity may be available. */
@@ -19,6 +20,12 @@
         void capacityAvailable();
     }
 
+    /** Largest request that counts as small, with its overhead. */
+    private static final long SMALL_REQUEST_BYTES = 128 << 10;
+
+    /** Part of the limit that is for small requests beyond twice the limit. */
+    private static final int SMALL_REQUESTS_DIVISOR = 8;
+
     private final long maxBytes;
     private final Set<CapacityListener> waiting = new LinkedHashSet<>();
     private long reserved;
@@ -36,7 +43,8 @@
      */
     public boolean tryReserve(long bytes, boolean holdsNothing, CapacityListener listener) {
         boolean fits = reserved + bytes <= maxBytes;
-        boolean mayExceedLimit = holdsNothing && reserved < 2 * maxBytes;
+        long most = 2 * maxBytes + (bytes <= SMALL_REQUEST_BYTES ? maxBytes / SMALL_REQUESTS_DIVISOR : 0);
+        boolean mayExceedLimit = holdsNothing && reserved < most;
         if (!fits && !mayExceedLimit) {
             waiting.add(listener);
             return false;
@@ -84,6 +92,11 @@
         }
     }
 
+    /** Whether a connection waits for capacity. */
+    public boolean hasWaiting() {
+        return !waiting.isEmpty();
+    }
+
     /** Bytes reserved now, which may exceed the limit. */
     public long reserved() {
         return reserved;
--- a/core/src/main/java/garnetreel/core/server/NbdServer.java
+++ b/core/src/main/java/garnetreel/core/server/NbdServer.java
@@ -8,10 +8,15 @@
 
 /** The NBD server of a gateway: its connections, and the exports that they can open. */
 public final class NbdServer extends ProtocolServer<NbdSession> {
+    /** Time between turns from which the process counts as held up; with clients, turns are 50 ms apart at most. */
+    private static final long HELD_UP_MICROS = 200_000;
+
     final BlockBackend backend;
     /** Exports by name, in the order of the settings, which is also the order in the reply to LIST. */
     final Map<String, Volume> exports = new LinkedHashMap<>();
 
+    private long lastStallCheckAt;
+
     /** Creates a server without connections for the exports of the settings. */
     public NbdServer(GatewaySettings settings, BlockBackend backend, ByteBudget byteBudget) {
         super(settings, byteBudget);
@@ -34,6 +39,25 @@
                 : exports.get(name);
     }
 
+    long time() {
+        return now();
+    }
+
+    /** Closes connections whose handshake takes too long, and those that hold up others. */
+    @Override
+    public void expire() {
+        super.expire();
+        boolean heldUp = now() - lastStallCheckAt > HELD_UP_MICROS;
+        lastStallCheckAt = now();
+        for (NbdSession session : sessions()) {
+            if (heldUp) {
+                session.restartStallTimes();
+            } else {
+                session.endIfStalled();
+            }
+        }
+    }
+
     @Override
     protected NbdSession open(long connectionId, boolean rejected, long handshakeDeadline) {
         return new NbdSession(this, connectionId, rejected, handshakeDeadline);
