Stalls of NBD clients have a class of their own and are checked four times a second

StallDetector holds the times and rates; the server checks every 250 ms, and begins the times anew after a pause.

--- a/core/src/main/java/garnetreel/core/server/NbdServer.java
+++ b/core/src/main/java/garnetreel/core/server/NbdServer.java
@@ -10,12 +10,15 @@
 public final class NbdServer extends ProtocolServer<NbdSession> {
     /** Time between turns from which the process counts as held up; with clients, turns are 50 ms apart at most. */
     private static final long HELD_UP_MICROS = 200_000;
+    /** Interval between two checks for stalled connections. */
+    private static final long STALL_CHECK_INTERVAL_MICROS = 250_000;
 
     final BlockBackend backend;
     /** Exports by name, in the order of the settings, which is also the order in the reply to LIST. */
     final Map<String, Volume> exports = new LinkedHashMap<>();
 
-    private long lastStallCheckAt;
+    private long lastTurnAt;
+    private long nextStallCheckAt;
 
     /** Creates a server without connections for the exports of the settings. */
     public NbdServer(GatewaySettings settings, BlockBackend backend, ByteBudget byteBudget) {
@@ -47,14 +50,13 @@
     @Override
     public void expire() {
         super.expire();
-        boolean heldUp = now() - lastStallCheckAt > HELD_UP_MICROS;
-        lastStallCheckAt = now();
-        for (NbdSession session : sessions()) {
-            if (heldUp) {
-                session.restartStallTimes();
-            } else {
-                session.endIfStalled();
-            }
+        boolean heldUp = now() - lastTurnAt > HELD_UP_MICROS;
+        lastTurnAt = now();
+        if (heldUp) {
+            sessions().forEach(NbdSession::restartStallTimes);
+        } else if (now() >= nextStallCheckAt) {
+            nextStallCheckAt = now() + STALL_CHECK_INTERVAL_MICROS;
+            sessions().forEach(NbdSession::endIfStalled);
         }
     }
 
--- a/core/src/main/java/garnetreel/core/server/NbdSession.java
+++ b/core/src/main/java/garnetreel/core/server/NbdSession.java
@@ -25,12 +25,6 @@
     private static final int MAX_OPTIONS = 2048;
     /** Bytes reserved in the byte budget for each request in addition to its payload. */
     private static final int REQUEST_OVERHEAD_BYTES = 64;
-    /** Time without a byte after which a client counts as stopped within a request, or as not reading its replies. */
-    private static final long STALL_TIMEOUT_MICROS = 2_500_000;
-    /** Lowest rate at which a payload has to come while other connections wait for capacity, after the time above. */
-    private static final long MIN_PAYLOAD_BYTES_PER_SECOND = 1 << 20;
-
-    private static final long MICROS_PER_SECOND = 1_000_000;
     /** Stands for the offset of an error that is not about an offset. */
     static final long NO_OFFSET = -1;
 
@@ -72,10 +66,7 @@
     /** Bytes written and not yet sent, which are reserved in the byte budget too. */
     private long outbound;
 
-    private long payloadBeganAt;
-    private long lastReceivedAt;
-    /** When bytes were last sent, or the first ones written. */
-    private long lastSentAt;
+    private final StallDetector stalls = new StallDetector();
 
     NbdSession(NbdServer server, long connectionId, boolean rejected, long handshakeDeadline) {
         super(connectionId, rejected, handshakeDeadline);
@@ -92,14 +83,14 @@
 
     @Override
     public void received(ByteBuffer data) {
-        lastReceivedAt = server.time();
+        stalls.received(server.time());
         receivedBytes.add(data);
         processReceived();
     }
 
     @Override
     public void written(int bytes) {
-        lastSentAt = server.time();
+        stalls.sent(server.time());
         outbound -= bytes;
         byteBudget.release(bytes);
         processReceived();
@@ -153,35 +144,22 @@
 
     // ---------------------------------------------------------------- stalls
 
-    /** The process was held up: what the client has done meanwhile is not known yet. */
+    /** The process was held up, so the times of stalls begin anew. */
     void restartStallTimes() {
-        payloadBeganAt = server.time();
-        lastReceivedAt = server.time();
-        lastSentAt = server.time();
+        stalls.restart(server.time());
     }
 
     /** Ends the connection if its client has stopped within a request, or holds up others that wait for capacity. */
     void endIfStalled() {
         boolean othersWait = byteBudget.hasWaiting();
-        if (phase == Phase.PAYLOAD && (isOver(lastReceivedAt) || othersWait && payloadIsSlow())) {
+        if (phase == Phase.PAYLOAD
+                && stalls.payloadStalled(server.time(), requests.receivedPayloadBytes(), othersWait)) {
             endStalled("sends a payload too slowly");
-        } else if (othersWait && outbound > 0 && isOver(lastSentAt)) {
+        } else if (othersWait && outbound > 0 && stalls.repliesStalled(server.time())) {
             endStalled("does not read its replies");
         }
     }
 
-    private static long allowance(int bytes) {
-        return STALL_TIMEOUT_MICROS + bytes * MICROS_PER_SECOND / MIN_PAYLOAD_BYTES_PER_SECOND;
-    }
-
-    private boolean payloadIsSlow() {
-        return server.time() - payloadBeganAt >= allowance(requests.receivedPayloadBytes());
-    }
-
-    private boolean isOver(long since) {
-        return server.time() - since >= STALL_TIMEOUT_MICROS;
-    }
-
     private void endStalled(String reason) {
         server.emit(new NetAction.Log(NetAction.Level.INFO, "NBD client " + reason + "; connection closed"));
         end(true);
@@ -192,7 +170,7 @@
     void write(ByteBuffer data) {
         int bytes = data.remaining();
         if (outbound == 0) {
-            lastSentAt = server.time();
+            stalls.sent(server.time());
         }
         outbound += bytes;
         // A negative release reserves the bytes even beyond the limit: replies are bounded by their requests.
@@ -358,8 +336,7 @@
 
     private void beginPayload() {
         phase = Phase.PAYLOAD;
-        payloadBeganAt = server.time();
-        lastReceivedAt = server.time();
+        stalls.payloadBegan(server.time());
     }
 
     private boolean payload() {
