Requests that NBD clients send until their socket is closed are answered after SIGTERM

Requests that waited behind the 256 under way, writes received in part and clients in their negotiation were dropped in the same way.

Cause: NbdSession.closeGracefully set the phase CLOSING, made for NBD_CMD_DISC, in which the socket is read and all bytes are thrown away. No place said what an ending owes; each path decided it alone.

Change: core.ending.ConnectionEnding is the table of endings, EndingProgress what is still awaited, ClosedConnections the counters. A shutdown refuses requests with ESHUTDOWN until nothing is in progress, all replies have left and the client has been silent for 0.2 s, at the latest 1 s after SIGTERM once nothing is in progress. When the last deadline is over the gateway fails what is left and stops. The handshake and the byte accounting of a session have files of their own. Load generators take ESHUTDOWN for a refusal, as nothing was run.

On sockets: HardCasesTest.requestsSentAfterShutdownAreRefusedOverSockets.

--- a/cli/src/main/java/garnetreel/cli/testing/bench/InMemoryGateway.java
+++ b/cli/src/main/java/garnetreel/cli/testing/bench/InMemoryGateway.java
@@ -4,6 +4,7 @@
 import garnetreel.core.Gateway;
 import garnetreel.core.GatewaySettings;
 import garnetreel.core.Volume;
+import garnetreel.core.ending.ClosedConnections;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetEvent;
 import garnetreel.core.io.StateMachine;
@@ -29,7 +30,7 @@
     InMemoryGateway(GatewaySettings settings) {
         this.settings = settings;
         this.budget = new ByteBudget(settings.bounds().gatewayBytes());
-        this.server = new NbdServer(settings, this, budget);
+        this.server = new NbdServer(settings, this, budget, new ClosedConnections());
         settings.volumes().forEach(v -> volumes.put(v.id(), new byte[(int) v.size()]));
     }
 
--- a/cli/src/test/java/garnetreel/cli/testing/HardCasesTest.java
+++ b/cli/src/test/java/garnetreel/cli/testing/HardCasesTest.java
@@ -312,6 +312,28 @@
         }
     }
 
+    /** Requests that came after SIGTERM on an open connection were read and dropped (review/10). */
+    @Test
+    void requestsSentAfterShutdownAreRefusedOverSockets() throws Exception {
+        try (DeploymentHarness harness =
+                new DeploymentHarness(1, "node \"n0\" {\n  shard = 0\n  base_work = \"100ms\"\n}\n")) {
+            NbdSocket client = harness.client();
+            long write = client.send(Nbd.CMD_WRITE, 0, 0, 512, new byte[512]);
+            harness.await(e -> e.kind() == Kind.ARRIVE && e.tag() == write);
+            harness.shutDown();
+            int errors = 0;
+            for (int i = 0; i < 7; i++) {
+                client.send(Nbd.CMD_READ, 0, 0, 512, null);
+            }
+            for (int i = 0; i < 8; i++) {
+                errors += client.reply().error == Nbd.ESHUTDOWN ? 1 : 0;
+            }
+            assertEquals(7, errors);
+            org.junit.jupiter.api.Assertions.assertThrows(EOFException.class, client::reply);
+            harness.awaitStopped();
+        }
+    }
+
     @Test
     void twoGatewaysShareOneLimitAndARestartGivesNoNewBurst() throws Exception {
         // 40 units per second with a burst of 20, shared by two gateways; the load on each exceeds that.
--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenGateway.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenGateway.java
@@ -15,8 +15,10 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * A gateway that a test drives turn by turn, without sockets and threads: the test has the clock, the network and the
@@ -38,8 +40,10 @@
     private Gateway gateway;
     private long now = START_MICROS;
     private long lastClientId;
+    private final Set<Long> nonReaders = new HashSet<>();
     private boolean appendsHeld;
     private boolean inTurn;
+    private boolean stopped;
 
     /** Receives what the gateway writes to a client. */
     interface DrivenClient {
@@ -142,6 +146,31 @@
         turn();
     }
 
+    /** The client reads nothing from now on: what the gateway writes to it does not leave the gateway. */
+    void stopReading(long clientId) {
+        nonReaders.add(clientId);
+    }
+
+    /** Tells the gateway to end, as SIGTERM does. */
+    void shutDown() {
+        pendingEvents.add(new NetEvent.CommandReceived(new Gateway.Shutdown()));
+        turn();
+    }
+
+    /** Whether the gateway has stopped after {@link #shutDown}. */
+    boolean isStopped() {
+        return stopped;
+    }
+
+    /** Current time in microseconds. */
+    long now() {
+        return now;
+    }
+
+    Gateway.Statistics statistics() {
+        return gateway.statistics();
+    }
+
     /** Lets time pass in small steps, in which nodes execute requests and the gateway takes its turns. */
     void advance(long micros) {
         for (long end = now + micros; now < end; ) {
@@ -187,6 +216,8 @@
             if (client != null) {
                 client.closed();
             }
+        } else if (action instanceof NetAction.Stopped) {
+            stopped = true;
         } else if (action instanceof NetAction.Append append) {
             if (appendsHeld) {
                 heldAppends.add(append);
@@ -217,9 +248,11 @@
         if (node != null) {
             node.received(
                     now, write.data(), reply -> pendingEvents.add(new NetEvent.Received(write.connectionId(), reply)));
-        } else if (client != null) {
+        } else if (client != null && !nonReaders.contains(write.connectionId())) {
             client.received(write.data());
         }
-        pendingEvents.add(new NetEvent.Written(write.connectionId(), length));
+        if (!nonReaders.contains(write.connectionId())) {
+            pendingEvents.add(new NetEvent.Written(write.connectionId(), length));
+        }
     }
 }
--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenNbdClient.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenNbdClient.java
@@ -5,8 +5,11 @@
 import garnetreel.core.Gateway;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /** An NBD client of a {@link DrivenGateway}, with simple replies. */
 final class DrivenNbdClient implements DrivenGateway.DrivenClient {
@@ -29,36 +32,98 @@
     private final Map<Long, Integer> readLengths = new HashMap<>();
     private final Map<Long, Reply> replies = new HashMap<>();
     private final long connectionId;
+    private final List<Integer> optionReplies = new ArrayList<>();
+    private final Map<Long, Long> unanswered = new TreeMap<>();
     private boolean greeted;
     private boolean transmitting;
     private boolean closed;
+    private long closedAt;
     private long lastCookie;
 
+    /** Connects and opens an export. */
     DrivenNbdClient(DrivenGateway gateway, String export) {
+        this(gateway);
+        sendGo(export);
+    }
+
+    /** Connects, and sends the flags that begin the negotiation. */
+    DrivenNbdClient(DrivenGateway gateway) {
         this.gateway = gateway;
         connectionId = gateway.connect(Gateway.NBD, this);
-        byte[] name = export.getBytes(StandardCharsets.UTF_8);
         gateway.send(
                 connectionId,
-                ByteBuffer.allocate(Integer.BYTES + 16 + Integer.BYTES + name.length + Short.BYTES)
+                ByteBuffer.allocate(Integer.BYTES)
                         .putInt(Nbd.FIXED_NEWSTYLE | Nbd.NO_ZEROES)
-                        .putLong(Nbd.OPTION_MAGIC)
-                        .putInt(Nbd.OPT_GO)
-                        .putInt(Integer.BYTES + name.length + Short.BYTES)
-                        .putInt(name.length)
-                        .put(name)
-                        .putShort((short) 0)
                         .flip());
     }
 
+    /** Sends the option that opens an export. */
+    void sendGo(String export) {
+        sendBytes(goOption(export));
+    }
+
+    /** The bytes of the option that opens an export. */
+    static byte[] goOption(String export) {
+        byte[] name = export.getBytes(StandardCharsets.UTF_8);
+        int length = Integer.BYTES + name.length + Short.BYTES;
+        return ByteBuffer.allocate(16 + length)
+                .putLong(Nbd.OPTION_MAGIC)
+                .putInt(Nbd.OPT_GO)
+                .putInt(length)
+                .putInt(name.length)
+                .put(name)
+                .putShort((short) 0)
+                .array();
+    }
+
+    /** Types of the replies to options, in order. */
+    List<Integer> optionReplies() {
+        return optionReplies;
+    }
+
+    /** Reads nothing that the gateway sends from now on. */
+    void stopReading() {
+        gateway.stopReading(connectionId);
+    }
+
+    /** Resets the connection. */
+    void disconnect() {
+        gateway.disconnect(connectionId);
+    }
+
+    /** Sends bytes as they are. */
+    void sendBytes(byte[] bytes) {
+        gateway.send(connectionId, ByteBuffer.wrap(bytes));
+    }
+
+    /** Sends the request that ends the connection. */
+    void sendDisconnect() {
+        gateway.send(connectionId, request(Nbd.CMD_DISC, ++lastCookie, 0, 0, new byte[0]));
+    }
+
+    /** Cookies of requests sent this long or longer before the connection's end, or now, that have no reply. */
+    List<Long> unanswered(long sentBeforeMicros) {
+        long end = closed ? closedAt : gateway.now();
+        return unanswered.entrySet().stream()
+                .filter(sent -> end - sent.getValue() >= sentBeforeMicros)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /** Number of replies to requests. */
+    int replies() {
+        return replies.size();
+    }
+
     /** Sends a write and returns its cookie. */
     long write(long offset, byte[] data) {
         return send(Nbd.CMD_WRITE, offset, data.length, data);
     }
 
-    /** Sends the header of a write and the beginning of its data. */
-    void beginWrite(long offset, int length, int sent) {
+    /** Sends the header of a write and the beginning of its data, and returns its cookie. */
+    long beginWrite(long offset, int length, int sent) {
         gateway.send(connectionId, request(Nbd.CMD_WRITE, ++lastCookie, offset, length, new byte[sent]));
+        return lastCookie;
     }
 
     /** Sends further data of a write. */
@@ -84,6 +149,7 @@
     private long send(int type, long offset, int length, byte[] data) {
         long cookie = ++lastCookie;
         readLengths.put(cookie, type == Nbd.CMD_READ ? length : 0);
+        unanswered.put(cookie, gateway.now());
         gateway.send(connectionId, request(type, cookie, offset, length, data));
         return cookie;
     }
@@ -108,6 +174,7 @@
     @Override
     public void closed() {
         closed = true;
+        closedAt = gateway.now();
     }
 
     @Override
@@ -132,6 +199,7 @@
             return false;
         }
         input.skip(OPTION_REPLY_LENGTH + length);
+        optionReplies.add(type);
         transmitting = type == Nbd.REP_ACK;
         return true;
     }
@@ -148,6 +216,7 @@
         }
         input.skip(SIMPLE_REPLY_LENGTH);
         replies.put(cookie, new Reply(error, input.take(length)));
+        unanswered.remove(cookie);
         return true;
     }
 }
--- a/codec/src/main/java/garnetreel/codec/nbd/NbdRequestParser.java
+++ b/codec/src/main/java/garnetreel/codec/nbd/NbdRequestParser.java
@@ -10,6 +10,8 @@
  */
 public final class NbdRequestParser {
     private static final int HEADER_BYTES = 28;
+    private static final int TYPE_OFFSET = 6;
+    private static final int LENGTH_OFFSET = 24;
     /**
      * Maximum payload that is skipped so that its request can be answered with an error; a longer one is a protocol
      * error.
@@ -35,6 +37,18 @@
         return new Header(in.takeU16(), in.takeU16(), in.takeLong(), in.takeLong(), in.takeU32());
     }
 
+    /** Number of requests that are complete in {@code in}, up to the first that is not; consumes nothing. */
+    public static int countRequests(ByteQueue in) {
+        int count = 0;
+        long end = 0;
+        while (in.size() - end >= HEADER_BYTES && (int) in.peekInt((int) end, 4) == Nbd.REQUEST_MAGIC) {
+            boolean hasPayload = in.peekInt((int) end + TYPE_OFFSET, 2) == Nbd.CMD_WRITE;
+            end += HEADER_BYTES + (hasPayload ? in.peekInt((int) end + LENGTH_OFFSET, 4) : 0);
+            count += end <= in.size() ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Begins a payload to be kept. */
     public void beginPayload(int length) {
         payload = new byte[length];
--- a/core/src/main/java/garnetreel/core/Gateway.java
+++ b/core/src/main/java/garnetreel/core/Gateway.java
@@ -6,6 +6,8 @@
 import garnetreel.core.connection.NodeAttempt;
 import garnetreel.core.connection.NodeConnectionPool;
 import garnetreel.core.connection.NodeListClient;
+import garnetreel.core.ending.ClosedConnections;
+import garnetreel.core.ending.DrainTimes;
 import garnetreel.core.io.ConnectionDispatcher;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetAction.Level;
@@ -54,14 +56,20 @@
     private final MapServiceClient mapService;
     private final RequestRegistry requests;
     private final ByteBudget byteBudget;
+    private final ClosedConnections closedConnections = new ClosedConnections();
     private final NbdServer nbd;
     private final FileCatalogueStore fileCatalogue;
     private final RsyncServer rsync;
     private final ConnectionDispatcher connectionEvents;
 
-    private volatile Statistics statistics = new Statistics(0, 0, 0, 0, 0, 0, 0, 0, 0);
+    private volatile Statistics statistics = new Statistics(0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
     private boolean started;
     private boolean shuttingDown;
+    /** Until when connections that were made before the shutdown may still be accepted. */
+    private long acceptsUntil = Long.MAX_VALUE;
+    /** When the shutdown ends, whatever is still in progress. */
+    private long shutdownDeadline = Long.MAX_VALUE;
+
     private boolean stopped;
     private long now;
 
@@ -82,9 +90,9 @@
         mapService.onChange(requests::mapChanged);
         nodeList = new NodeListClient(settings, connectionIds, requests.events()::add);
         byteBudget = new ByteBudget(settings.bounds().gatewayBytes());
-        nbd = new NbdServer(settings, requests, byteBudget);
+        nbd = new NbdServer(settings, requests, byteBudget, closedConnections);
         fileCatalogue = new FileCatalogueStore(settings, requests.writeSettlement(), stored.catalogue());
-        rsync = new RsyncServer(settings, requests, byteBudget, fileCatalogue);
+        rsync = new RsyncServer(settings, requests, byteBudget, closedConnections, fileCatalogue);
         connectionEvents = new ConnectionDispatcher(nbd, rsync, nodes, nodeList, mapService);
     }
 
@@ -160,6 +168,9 @@
             return;
         }
         shuttingDown = true;
+        acceptsUntil = now + DrainTimes.SILENCE_MICROS;
+        // After the last deadline of a request, and before the process gives up.
+        shutdownDeadline = now + settings.longestTimeLimit() - settings.replyMargin() / 2;
         actions.add(new NetAction.StopListening(NBD));
         if (servesFiles()) {
             actions.add(new NetAction.StopListening(RSYNC));
@@ -189,12 +200,29 @@
     }
 
     private void stopIfIdle(List<NetAction> actions) {
-        if (shuttingDown && !stopped && !hasClients() && requests.operations() == 0) {
+        if (!shuttingDown || stopped) {
+            return;
+        }
+        if (now >= shutdownDeadline) {
+            nbd.finishShutdown();
+            rsync.finishShutdown();
+        }
+        boolean acceptsNoMore = now >= Math.min(acceptsUntil, shutdownDeadline);
+        if (acceptsNoMore && !hasClients() && requests.operations() == 0) {
             stopped = true;
+            actions.add(new NetAction.Log(
+                    closedConnections.owedAnswers() == 0 ? Level.INFO : Level.WARN, closedConnections.logLine()));
             actions.add(new NetAction.Stopped());
         }
     }
 
+    private long nextShutdownStep() {
+        if (!shuttingDown || stopped) {
+            return Long.MAX_VALUE;
+        }
+        return now < acceptsUntil ? Math.min(acceptsUntil, shutdownDeadline) : shutdownDeadline;
+    }
+
     private int clientConnections() {
         return nbd.connections() + rsync.connections();
     }
@@ -217,6 +245,7 @@
                 rsync.nextDeadline(),
                 fileCatalogue.nextDeadline(),
                 pauseDetector.nextDeadline(hasClients()),
+                nextShutdownStep(),
                 scheduler.nextDeadline());
     }
 
@@ -299,7 +328,8 @@
                 requests.rejectedAtLimit(),
                 requests.missedDeadlines(),
                 requests.reroutes(),
-                mapService.version());
+                mapService.version(),
+                closedConnections.owedAnswers());
     }
 
     /** The statistics as of the end of the last turn. May be called on any thread. */
@@ -319,6 +349,7 @@
      * @param missedDeadlines sub-requests for which the scheduler gave no result by their deadline
      * @param reroutes number of times a sub-request was rerouted because its extent had moved
      * @param mapVersion version of the cached extent map
+     * @param owedAnswers requests whose connections were closed without the answer that was owed
      */
     public record Statistics(
             int connections,
@@ -329,5 +360,6 @@
             long rejectedAtLimit,
             long missedDeadlines,
             long reroutes,
-            long mapVersion) {}
+            long mapVersion,
+            long owedAnswers) {}
 }
--- a/core/src/main/java/garnetreel/core/GatewaySettings.java
+++ b/core/src/main/java/garnetreel/core/GatewaySettings.java
@@ -1,5 +1,6 @@
 package garnetreel.core;
 
+import garnetreel.policy.config.RequestClass;
 import garnetreel.policy.config.SchedulerSettings;
 import java.util.List;
 import java.util.Map;
@@ -40,6 +41,14 @@
                 .toList();
     }
 
+    /** The longest time limit of a request class, in microseconds. */
+    public long longestTimeLimit() {
+        return scheduling.classes().stream()
+                .mapToLong(RequestClass::timeLimit)
+                .max()
+                .orElse(0);
+    }
+
     /** A copy of these settings with other settings of the rsync service. */
     public GatewaySettings withFiles(Files other) {
         return new GatewaySettings(
--- a/core/src/main/java/garnetreel/core/server/NbdServer.java
+++ b/core/src/main/java/garnetreel/core/server/NbdServer.java
@@ -2,6 +2,7 @@
 
 import garnetreel.core.GatewaySettings;
 import garnetreel.core.Volume;
+import garnetreel.core.ending.ClosedConnections;
 import garnetreel.core.request.BlockBackend;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -21,8 +22,12 @@
     private long nextStallCheckAt;
 
     /** Creates a server without connections for the exports of the settings. */
-    public NbdServer(GatewaySettings settings, BlockBackend backend, ByteBudget byteBudget) {
-        super(settings, byteBudget);
+    public NbdServer(
+            GatewaySettings settings,
+            BlockBackend backend,
+            ByteBudget byteBudget,
+            ClosedConnections closedConnections) {
+        super(settings, byteBudget, closedConnections);
         this.backend = backend;
         settings.exports().forEach(v -> exports.put(v.name(), v));
     }
--- a/core/src/main/java/garnetreel/core/server/NbdSession.java
+++ b/core/src/main/java/garnetreel/core/server/NbdSession.java
@@ -2,13 +2,13 @@
 
 import garnetreel.codec.ByteQueue;
 import garnetreel.codec.ProtocolException;
-import garnetreel.codec.nbd.HandshakeParser;
 import garnetreel.codec.nbd.Nbd;
 import garnetreel.codec.nbd.NbdRequestParser;
 import garnetreel.codec.nbd.NbdRequestParser.Header;
 import garnetreel.codec.nbd.NbdWriter;
 import garnetreel.core.GatewaySettings;
 import garnetreel.core.Volume;
+import garnetreel.core.ending.ConnectionEnding;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.server.RequestValidator.RequestError;
 import java.nio.ByteBuffer;
@@ -21,8 +21,6 @@
  * answered with an error and the connection stays open; a connection whose stream can no longer be parsed is closed.
  */
 final class NbdSession extends ProtocolServer.Session {
-    /** Maximum number of options, after which the connection is closed; clients send a few, or a few per export. */
-    private static final int MAX_OPTIONS = 2048;
     /** Bytes reserved in the byte budget for each request in addition to its payload. */
     private static final int REQUEST_OVERHEAD_BYTES = 64;
     /** Stands for the offset of an error that is not about an offset. */
@@ -34,46 +32,38 @@
         /** The next request's header is awaited, or its request waits for capacity. */
         REQUEST,
         /** A write's payload is read or skipped. */
-        PAYLOAD,
-        /** No further request is read; the connection ends after the last reply. */
-        CLOSING,
-        /** The connection has ended. */
-        ENDED
+        PAYLOAD
     }
 
     private final NbdServer server;
-    private final ByteBudget byteBudget;
     private final GatewaySettings.Bounds bounds;
     private final ByteQueue receivedBytes = new ByteQueue();
-    private final HandshakeParser handshake = new HandshakeParser();
     private final NbdRequestParser requests = new NbdRequestParser();
     private final Set<NbdRequest> inProgress = new LinkedHashSet<>();
     private final OptionHandler options;
+    private final NbdHandshake handshake;
     private Phase phase = Phase.HANDSHAKE;
-    private boolean noZeroes;
-    private int optionCount;
     /** The export in use; null during the handshake. */
     private Volume volume;
     /** Set together with the export, when negotiation is complete. */
     private RequestValidator validator;
     /** Header of the request whose payload is awaited, or that waits for capacity; null if there is none. */
     private Header header;
+    /** The error that answers the request of the header; null if it is to be run. */
+    private RequestError rejection;
 
     private boolean reading = true;
     private boolean processing;
-    /** Bytes reserved in the byte budget for requests in progress. */
-    private long reserved;
-    /** Bytes written and not yet sent, which are reserved in the byte budget too. */
-    private long outbound;
-
+    private final ConnectionBytes bytes;
     private final StallDetector stalls = new StallDetector();
 
     NbdSession(NbdServer server, long connectionId, boolean rejected, long handshakeDeadline) {
-        super(connectionId, rejected, handshakeDeadline);
+        super(server, connectionId, rejected, handshakeDeadline);
         this.server = server;
-        this.byteBudget = server.byteBudget();
         this.bounds = server.settings().bounds();
+        this.bytes = new ConnectionBytes(server.byteBudget(), bounds.connectionBytes());
         this.options = new OptionHandler(server, this);
+        this.handshake = new NbdHandshake(options);
     }
 
     @Override
@@ -82,17 +72,16 @@
     }
 
     @Override
-    public void received(ByteBuffer data) {
+    protected void received(ByteBuffer data) {
         stalls.received(server.time());
         receivedBytes.add(data);
         processReceived();
     }
 
     @Override
-    public void written(int bytes) {
+    public void written(int count) {
         stalls.sent(server.time());
-        outbound -= bytes;
-        byteBudget.release(bytes);
+        bytes.replySent(count);
         processReceived();
     }
 
@@ -104,42 +93,71 @@
     // ---------------------------------------------------------------- end of the connection
 
     @Override
-    public void disconnected() {
-        phase = Phase.ENDED;
-        for (NbdRequest request : List.copyOf(inProgress)) {
-            server.backend.abandon(request.operation);
+    protected void endingBegan() {
+        if (ending.refusesRequests()) {
+            processReceived(); // refuses what waits for capacity
+        } else {
+            answerPartialRequest();
         }
-        inProgress.clear();
-        byteBudget.release(reserved + outbound);
-        reserved = 0;
-        outbound = 0;
-        server.sessionEnded(this);
     }
 
     @Override
-    public void end(boolean abort) {
-        if (phase != Phase.ENDED) {
-            server.emit(new NetAction.Close(connectionId, abort));
-            disconnected();
-        }
+    protected boolean isSettled() {
+        return inProgress.isEmpty()
+                && !hasUnsentReplies()
+                && !ending.awaitsInput(server.time(), lastReceivedAt(), hasPartialMessage());
+    }
+
+    private boolean hasPartialMessage() {
+        return header != null || receivedBytes.size() > 0;
     }
 
     @Override
-    public void closeGracefully() {
-        if (phase == Phase.HANDSHAKE && volume == null) {
-            end(false);
+    protected void writeLastWords() {
+        answerPartialRequest();
+    }
+
+    /** Answers a request whose payload has not been received completely, and will not be received. */
+    private void answerPartialRequest() {
+        if (header == null) {
             return;
         }
-        if (phase == Phase.PAYLOAD || phase == Phase.REQUEST) {
-            phase = Phase.CLOSING;
+        RequestError error = rejection == null ? RequestError.ofPartialRequest(ending.cause()) : rejection;
+        if (requests.takePayload() != null) {
+            bytes.release(bytesOf(header));
         }
-        endIfIdle();
+        phase = Phase.REQUEST;
+        reject(error);
+    }
+
+    @Override
+    protected boolean hasUnsentReplies() {
+        return bytes.unsent() > 0;
+    }
+
+    @Override
+    protected void failRequestsInProgress() {
+        for (NbdRequest request : List.copyOf(inProgress)) {
+            server.backend.abandon(request.operation);
+            error(request.header.cookie(), Nbd.EIO, "the gateway has shut down; the effect is not known", NO_OFFSET);
+        }
+        inProgress.clear();
+    }
+
+    @Override
+    protected int unansweredRequests() {
+        boolean transmission = phase == Phase.REQUEST;
+        int waiting = transmission ? NbdRequestParser.countRequests(receivedBytes) : 0;
+        return inProgress.size() + waiting + (transmission && header != null ? 1 : 0);
     }
 
-    private void endIfIdle() {
-        if (phase == Phase.CLOSING && inProgress.isEmpty()) {
-            end(false);
+    @Override
+    protected void release() {
+        for (NbdRequest request : List.copyOf(inProgress)) {
+            server.backend.abandon(request.operation);
         }
+        inProgress.clear();
+        bytes.releaseAll();
     }
 
     // ---------------------------------------------------------------- stalls
@@ -151,36 +169,34 @@
 
     /** Ends the connection if its client has stopped within a request, or holds up others that wait for capacity. */
     void endIfStalled() {
-        boolean othersWait = byteBudget.hasWaiting();
-        if (phase == Phase.PAYLOAD
-                && stalls.payloadStalled(server.time(), requests.receivedPayloadBytes(), othersWait)) {
-            endStalled("sends a payload too slowly");
-        } else if (othersWait && outbound > 0 && stalls.repliesStalled(server.time())) {
-            endStalled("does not read its replies");
+        boolean othersWait = server.byteBudget().hasWaiting();
+        boolean stalled = phase == Phase.PAYLOAD
+                && stalls.payloadStalled(server.time(), requests.receivedPayloadBytes(), othersWait);
+        if (stalled && !ending.discardsInput()) {
+            endStalled(ConnectionEnding.STALLED, "sends a payload too slowly");
+        } else if (bytes.unsent() > 0 && stalls.repliesStalled(server.time(), othersWait, ending.hasBegun())) {
+            endStalled(ConnectionEnding.REPLIES_UNREAD, "does not read its replies");
         }
     }
 
-    private void endStalled(String reason) {
+    private void endStalled(ConnectionEnding cause, String reason) {
         server.emit(new NetAction.Log(NetAction.Level.INFO, "NBD client " + reason + "; connection closed"));
-        end(true);
+        end(cause);
     }
 
     // ---------------------------------------------------------------- reading and writing
 
     void write(ByteBuffer data) {
-        int bytes = data.remaining();
-        if (outbound == 0) {
+        if (bytes.unsent() == 0) {
             stalls.sent(server.time());
         }
-        outbound += bytes;
-        // A negative release reserves the bytes even beyond the limit: replies are bounded by their requests.
-        byteBudget.release(-bytes);
+        bytes.replyWritten(data.remaining());
         server.emit(new NetAction.Write(connectionId, data));
     }
 
     /** Processes received bytes as far as the limits allow, then updates whether the socket is read. */
     private void processReceived() {
-        if (processing || phase == Phase.ENDED) {
+        if (processing || isClosed()) {
             return; // a nested call, from a reply written within the loop below, or the connection has ended
         }
         processing = true;
@@ -192,34 +208,39 @@
         } catch (ProtocolException e) {
             server.emit(
                     new NetAction.Log(NetAction.Level.DEBUG, "NBD client: " + e.getMessage() + "; connection closed"));
-            end(true);
+            end(ConnectionEnding.PROTOCOL_ERROR);
         } finally {
             processing = false;
         }
-        endIfIdle();
-        if (phase != Phase.ENDED) {
+        closeIfSettled();
+        if (!isClosed()) {
             updateReadInterest();
         }
     }
 
     /** Processes the next message as far as it has been received; false if more bytes or capacity are needed. */
     private boolean advance() throws ProtocolException {
+        if (isClosed()) {
+            return false;
+        }
+        if (ending.discardsInput()) {
+            receivedBytes.skip(receivedBytes.size());
+            return false;
+        }
         return switch (phase) {
-            case HANDSHAKE -> hasCapacity() && option();
+            case HANDSHAKE -> hasCapacity() && handshake.advance(receivedBytes);
             case REQUEST -> hasCapacity() && request();
             case PAYLOAD -> payload();
-            case CLOSING, ENDED -> false;
         };
     }
 
     private boolean hasCapacity() {
-        return inProgress.size() < bounds.connectionRequests() && reserved + outbound < bounds.connectionBytes();
+        return ending.refusesRequests()
+                ? bytes.hasReplyCapacity()
+                : inProgress.size() < bounds.connectionRequests() && bytes.hasCapacity();
     }
 
     private void updateReadInterest() {
-        if (phase == Phase.CLOSING) {
-            receivedBytes.skip(receivedBytes.size());
-        }
         boolean read = shouldRead();
         if (read != reading) {
             reading = read;
@@ -228,46 +249,27 @@
     }
 
     private boolean shouldRead() {
-        return switch (phase) {
-            case HANDSHAKE -> hasCapacity();
-            case REQUEST -> hasCapacity() && header == null;
-            case PAYLOAD, CLOSING -> true;
-            case ENDED -> false;
-        };
-    }
-
-    // ---------------------------------------------------------------- handshake
-
-    private boolean option() throws ProtocolException {
-        HandshakeParser.ClientMessage message = handshake.next(receivedBytes);
-        if (message == null) {
-            return false;
-        }
-        if (message instanceof HandshakeParser.Flags clientFlags) {
-            acceptFlags(clientFlags.flags());
+        if (ending.discardsInput()) {
             return true;
         }
-        if (++optionCount > MAX_OPTIONS) {
-            throw new ProtocolException("more than " + MAX_OPTIONS + " options");
-        }
-        options.handle((HandshakeParser.Option) message);
-        return phase == Phase.HANDSHAKE || phase == Phase.REQUEST;
+        boolean acceptsInput =
+                switch (phase) {
+                    case HANDSHAKE -> hasCapacity();
+                    case REQUEST -> hasCapacity() && header == null;
+                    case PAYLOAD -> true;
+                };
+        return acceptsInput && ending.readsSocket(server.time(), !inProgress.isEmpty());
     }
 
-    private void acceptFlags(int clientFlags) throws ProtocolException {
-        if ((clientFlags & ~(Nbd.FIXED_NEWSTYLE | Nbd.NO_ZEROES)) != 0) {
-            throw new ProtocolException("unknown client flags 0x" + Integer.toHexString(clientFlags));
-        }
-        noZeroes = (clientFlags & Nbd.NO_ZEROES) != 0;
-    }
+    // ---------------------------------------------------------------- handshake
 
     /** Answers EXPORT_NAME; the specification has no error reply to it, so an unknown export closes the connection. */
     void exportName(Volume export) {
         if (export == null) {
-            end(false);
+            end(ConnectionEnding.COMPLETED);
             return;
         }
-        write(NbdWriter.exportName(export.size(), transmissionFlags(export), !noZeroes));
+        write(NbdWriter.exportName(export.size(), transmissionFlags(export), !handshake.noZeroes()));
         beginTransmission(export);
     }
 
@@ -301,25 +303,23 @@
         }
         if (header.type() == Nbd.CMD_DISC) {
             header = null;
-            phase = Phase.CLOSING;
+            end(ConnectionEnding.COMPLETED);
             return false;
         }
+        rejection = ending.refusesRequests() ? RequestError.SHUTTING_DOWN : validator.validate(header);
         boolean hasPayload = header.type() == Nbd.CMD_WRITE;
-        RequestError error = validator.validate(header);
-        if (error != null) {
+        if (rejection != null) {
             if (hasPayload) {
                 requests.skipPayload(header.length());
                 beginPayload();
             } else {
-                reject(error);
+                reject(rejection);
             }
             return true;
         }
-        long bytes = bytesOf(header);
-        if (!byteBudget.tryReserve(bytes, reserved + outbound == 0, this)) {
+        if (!bytes.tryReserve(bytesOf(header), this)) {
             return false;
         }
-        reserved += bytes;
         if (hasPayload) {
             requests.beginPayload((int) header.length());
             beginPayload();
@@ -345,10 +345,13 @@
         }
         phase = Phase.REQUEST;
         byte[] data = requests.takePayload();
-        if (data != null) {
-            start(data);
+        if (data == null) {
+            reject(rejection); // only the payload of a rejected request is skipped
+        } else if (ending.refusesRequests()) {
+            bytes.release(bytesOf(header));
+            reject(RequestError.SHUTTING_DOWN);
         } else {
-            reject(validator.validate(header)); // only the payload of an invalid request is skipped
+            start(data);
         }
         return true;
     }
@@ -356,6 +359,7 @@
     private void reject(RequestError error) {
         long cookie = header.cookie();
         header = null;
+        rejection = null;
         error(cookie, error.code(), error.message(), NO_OFFSET);
     }
 
@@ -377,10 +381,8 @@
     /** Called when a request's reply has been written. */
     void replied(NbdRequest request) {
         inProgress.remove(request);
-        reserved -= request.reservedBytes;
-        byteBudget.release(request.reservedBytes);
+        bytes.release(request.reservedBytes);
         processReceived();
-        endIfIdle();
     }
 
     /** Writes an error reply in the negotiated form. */
--- a/core/src/main/java/garnetreel/core/server/OptionHandler.java
+++ b/core/src/main/java/garnetreel/core/server/OptionHandler.java
@@ -4,6 +4,7 @@
 import garnetreel.codec.nbd.Nbd;
 import garnetreel.codec.nbd.NbdWriter;
 import garnetreel.core.Volume;
+import garnetreel.core.ending.ConnectionEnding;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -47,7 +48,7 @@
             error(code, Nbd.REP_ERR_TOO_BIG, "option of more than the bytes that are kept");
         } else if (code == Nbd.OPT_ABORT) {
             acknowledge(code);
-            session.end(false);
+            session.end(ConnectionEnding.COMPLETED);
         } else if (session.rejected || server.shuttingDown()) {
             reject(code);
         } else {
@@ -61,7 +62,7 @@
 
     private void reject(int code) {
         if (code == Nbd.OPT_EXPORT_NAME) {
-            session.end(false);
+            session.end(ConnectionEnding.COMPLETED);
         } else if (session.rejected) {
             error(
                     code,
--- a/core/src/main/java/garnetreel/core/server/ProtocolServer.java
+++ b/core/src/main/java/garnetreel/core/server/ProtocolServer.java
@@ -1,6 +1,9 @@
 package garnetreel.core.server;
 
 import garnetreel.core.GatewaySettings;
+import garnetreel.core.ending.ClosedConnections;
+import garnetreel.core.ending.ConnectionEnding;
+import garnetreel.core.ending.EndingProgress;
 import garnetreel.core.io.ConnectionHandler;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetEvent;
@@ -28,8 +31,13 @@
         protected final long connectionId;
         /** Whether the connection exceeds the limit: the client only gets an error that says so. */
         protected final boolean rejected;
+        /** The end of this connection. */
+        protected final EndingProgress ending = new EndingProgress();
 
         final long handshakeDeadline;
+        private final ProtocolServer<?> owner;
+        private boolean closed;
+        private long lastReceivedAt;
 
         /**
          * Creates a session in its handshake.
@@ -37,29 +45,95 @@
          * @param rejected whether the connection exceeds the limit
          * @param handshakeDeadline when the connection is closed unless its handshake is complete
          */
-        protected Session(long connectionId, boolean rejected, long handshakeDeadline) {
+        protected Session(ProtocolServer<?> owner, long connectionId, boolean rejected, long handshakeDeadline) {
+            this.owner = owner;
             this.connectionId = connectionId;
             this.rejected = rejected;
             this.handshakeDeadline = handshakeDeadline;
+            this.lastReceivedAt = owner.now;
         }
 
         /** Writes what the server sends first. */
         public abstract void greet();
 
         /** Called when bytes have been received. */
-        public abstract void received(ByteBuffer data);
+        protected abstract void received(ByteBuffer data);
 
         /** Called when this many written bytes have been sent. */
         public abstract void written(int bytes);
 
-        /** Called when the connection has ended; discards all requests and pending replies. */
-        public abstract void disconnected();
+        /** Answers what the ending owes and can be answered now. Called when an ending begins. */
+        protected abstract void endingBegan();
 
-        /** Accepts no further requests, and ends once the last reply is written. */
-        public abstract void closeGracefully();
+        /** Whether all that the ending owes has been answered, and all answers have been sent. */
+        protected abstract boolean isSettled();
 
-        /** Ends the connection from this side. */
-        public abstract void end(boolean abort);
+        /** Writes the last words to the client. Called right before the connection is closed, if its end owes answers. */
+        protected abstract void writeLastWords();
+
+        /** Whether replies have been written that have not been sent. */
+        protected abstract boolean hasUnsentReplies();
+
+        /** Fails what is in progress, as the time for the shutdown is over. */
+        protected abstract void failRequestsInProgress();
+
+        /** Number of requests that have been received and not answered. */
+        protected abstract int unansweredRequests();
+
+        /** Releases all resources, discards requests in progress. Called once the connection is closed. */
+        protected abstract void release();
+
+        /** Whether the connection has been closed. */
+        protected final boolean isClosed() {
+            return closed;
+        }
+
+        /** When bytes were last received; at first, when the connection was accepted. */
+        protected final long lastReceivedAt() {
+            return lastReceivedAt;
+        }
+
+        /** Begins the end of the connection. It is closed once it is settled, or at once if its end owes nothing. */
+        protected final void end(ConnectionEnding cause) {
+            if (closed || !ending.begin(cause, owner.now)) {
+                return;
+            }
+            owner.endingSessions.add(this);
+            if (!cause.owesAnswers()) {
+                close();
+                return;
+            }
+            endingBegan();
+            closeIfSettled();
+        }
+
+        /** Closes the connection if its end has begun and all that it owes has been sent. */
+        protected final void closeIfSettled() {
+            if (!closed && ending.hasBegun() && isSettled()) {
+                writeLastWords();
+                close();
+            }
+        }
+
+        /** Closes the connection when the time for the shutdown is over. */
+        private void closeOverdue() {
+            if (closed) {
+                return;
+            }
+            if (hasUnsentReplies()) {
+                end(ConnectionEnding.REPLIES_UNREAD);
+                return;
+            }
+            failRequestsInProgress();
+            writeLastWords();
+            close();
+        }
+
+        private void close() {
+            closed = true;
+            owner.sessionClosed(this);
+            release();
+        }
     }
 
     /** Settings of the gateway. */
@@ -67,19 +141,27 @@
     /** The byte budget of the gateway. */
     protected final ByteBudget byteBudget;
 
+    private final ClosedConnections closedConnections;
     private final Map<Long, S> sessions = new TreeMap<>();
+    /** Sessions that are about to end. */
+    private final Set<Session> endingSessions = new LinkedHashSet<>();
     /** Sessions in their handshake, in the order they were accepted, which is the order of their deadlines. */
-    private final Set<S> handshaking = new LinkedHashSet<>();
+    private final Set<Session> handshaking = new LinkedHashSet<>();
 
     private List<NetAction> actions = new ArrayList<>();
     private long now;
     private int rejectedSessions;
     private boolean draining;
 
-    /** Creates a server without connections. */
-    protected ProtocolServer(GatewaySettings settings, ByteBudget byteBudget) {
+    /**
+     * Creates a server without connections.
+     *
+     * @param closedConnections counts the connections that end
+     */
+    protected ProtocolServer(GatewaySettings settings, ByteBudget byteBudget, ClosedConnections closedConnections) {
         this.settings = settings;
         this.byteBudget = byteBudget;
+        this.closedConnections = closedConnections;
     }
 
     /**
@@ -130,7 +212,8 @@
     public final void accepted(long connectionId, String peer) {
         int maxConnections = settings.bounds().connections();
         boolean rejected = sessions.size() - rejectedSessions >= maxConnections;
-        if (draining || rejected && rejectedSessions >= MAX_REJECTED) {
+        if (rejected && rejectedSessions >= MAX_REJECTED) {
+            closedConnections.count(ConnectionEnding.EVICTED, 0);
             emit(new NetAction.Close(connectionId, true));
             return;
         }
@@ -144,6 +227,9 @@
         sessions.put(connectionId, session);
         handshaking.add(session);
         session.greet();
+        if (draining) {
+            session.end(ConnectionEnding.SHUTDOWN);
+        }
     }
 
     @Override
@@ -153,7 +239,9 @@
 
     @Override
     public final void received(long connectionId, ByteBuffer data) {
-        sessions.get(connectionId).received(data);
+        S session = sessions.get(connectionId);
+        ((Session) session).lastReceivedAt = now;
+        session.received(data);
     }
 
     @Override
@@ -163,7 +251,7 @@
 
     @Override
     public final void closed(NetEvent.Closed event) {
-        sessions.get(event.connectionId()).disconnected();
+        sessions.get(event.connectionId()).end(ConnectionEnding.PEER_GONE);
     }
 
     /** Called when a session's handshake is complete. */
@@ -171,33 +259,52 @@
         handshaking.remove(session);
     }
 
-    /** Called when a session has ended, by either side. */
-    public final void sessionEnded(S session) {
+    private void sessionClosed(Session session) {
         sessions.remove(session.connectionId);
+        endingSessions.remove(session);
         handshaking.remove(session);
         byteBudget.removeListener(session);
         if (session.rejected) {
             rejectedSessions--;
         }
+        ConnectionEnding cause = session.ending.cause();
+        closedConnections.count(cause, session.unansweredRequests());
+        if (cause != ConnectionEnding.PEER_GONE) {
+            emit(new NetAction.Close(session.connectionId, cause.resetsConnection()));
+        }
     }
 
-    /** Begins the shutdown: rejects new connections and requests, and closes each connection after its last reply. */
+    /** Begins the shutdown: requests are refused from now on, and each connection is closed once it is settled. */
     public final void shutDown() {
         draining = true;
-        sessions().forEach(Session::closeGracefully);
+        sessions().forEach(session -> session.end(ConnectionEnding.SHUTDOWN));
     }
 
-    /** Time of the next handshake deadline; {@link Long#MAX_VALUE} if there is none. */
+    /** Ends the shutdown: answers at once what is still owed, and closes all connections. */
+    public final void finishShutdown() {
+        List.copyOf(endingSessions).forEach(Session::closeOverdue);
+    }
+
+    /** When {@link #expire} must be called next; {@link Long#MAX_VALUE} for never. */
     public long nextDeadline() {
-        return handshaking.isEmpty() ? Long.MAX_VALUE : handshaking.iterator().next().handshakeDeadline;
+        long next =
+                handshaking.isEmpty() ? Long.MAX_VALUE : handshaking.iterator().next().handshakeDeadline;
+        for (Session session : endingSessions) {
+            next = Math.min(next, session.ending.nextDeadline(now, session.lastReceivedAt));
+        }
+        return next;
     }
 
     /**
-     * Closes connections whose handshake takes too long, as they count against the connection limit without being used.
+     * Ends connections whose handshake takes too long, as they count against the connection limit without being used,
+     * and closes those whose end is settled.
      */
     public void expire() {
         while (!handshaking.isEmpty() && now >= handshaking.iterator().next().handshakeDeadline) {
-            handshaking.iterator().next().end(true);
+            Session late = handshaking.iterator().next();
+            handshaking.remove(late);
+            late.end(ConnectionEnding.IDLE);
         }
+        List.copyOf(endingSessions).forEach(Session::closeIfSettled);
     }
 }
--- a/core/src/main/java/garnetreel/core/server/RequestValidator.java
+++ b/core/src/main/java/garnetreel/core/server/RequestValidator.java
@@ -3,6 +3,7 @@
 import garnetreel.codec.nbd.Nbd;
 import garnetreel.codec.nbd.NbdRequestParser.Header;
 import garnetreel.core.Volume;
+import garnetreel.core.ending.ConnectionEnding;
 
 /** Validates a request against the specification, the export and the payload limit before it is processed. */
 final class RequestValidator {
@@ -12,7 +13,19 @@
     private final boolean allocationContext;
 
     /** The error reply to an invalid request: the specification's error code and a message. */
-    record RequestError(int code, String message) {}
+    record RequestError(int code, String message) {
+        /** The gateway shuts down and runs no further request. */
+        static final RequestError SHUTTING_DOWN =
+                new RequestError(Nbd.ESHUTDOWN, "this gateway is shutting down; nothing was done");
+
+        private static final RequestError INCOMPLETE =
+                new RequestError(Nbd.ENOMEM, "the payload was not sent in time; nothing was done");
+
+        /** The answer to a request of which only a part was received before its connection ends. */
+        static RequestError ofPartialRequest(ConnectionEnding cause) {
+            return cause == ConnectionEnding.SHUTDOWN ? SHUTTING_DOWN : INCOMPLETE;
+        }
+    }
 
     RequestValidator(Volume volume, int maxPayload, OptionHandler negotiated) {
         this(volume, maxPayload, negotiated.structuredReplies(), negotiated.allocationContext());
--- a/core/src/main/java/garnetreel/core/server/StallDetector.java
+++ b/core/src/main/java/garnetreel/core/server/StallDetector.java
@@ -1,5 +1,7 @@
 package garnetreel.core.server;
 
+import garnetreel.core.ending.DrainTimes;
+
 /**
  * Tells when a client that holds bytes of the gateway's budget makes no progress: it has stopped within a write's
  * payload, or holds up connections that wait for capacity.
@@ -45,8 +47,12 @@
         return now - lastReceivedAt >= TIMEOUT_MICROS || othersWait && now - payloadBeganAt >= allowedTime;
     }
 
-    /** Whether the client reads none of the replies that wait for it. */
-    boolean repliesStalled(long now) {
-        return now - lastSentAt >= TIMEOUT_MICROS;
+    /**
+     * Whether the client reads none of the replies that wait for it, while other connections wait for capacity or while
+     * this one is about to end.
+     */
+    boolean repliesStalled(long now, boolean othersWait, boolean ending) {
+        long silent = now - lastSentAt;
+        return othersWait && silent >= TIMEOUT_MICROS || ending && silent >= DrainTimes.UNREAD_REPLIES_MICROS;
     }
 }
--- a/core/src/main/java/garnetreel/core/server/rsync/FileCatalogueStore.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/FileCatalogueStore.java
@@ -74,10 +74,7 @@
         }
         catalogue = new Catalogue(moduleVolumes, stored.snapshot(), stored.records(), this::mayStillChange);
         nextSnapshotSeq = catalogue.seq() + SNAPSHOT_INTERVAL;
-        longestTimeLimit = settings.scheduling().classes().stream()
-                .mapToLong(c -> c.timeLimit())
-                .max()
-                .orElse(0);
+        longestTimeLimit = settings.longestTimeLimit();
     }
 
     /** Begins a turn: its time, and where its actions go. */
--- a/core/src/main/java/garnetreel/core/server/rsync/RsyncServer.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/RsyncServer.java
@@ -2,6 +2,7 @@
 
 import garnetreel.codec.rsync.Checksums;
 import garnetreel.core.GatewaySettings;
+import garnetreel.core.ending.ClosedConnections;
 import garnetreel.core.request.BlockBackend;
 import garnetreel.core.server.ByteBudget;
 import garnetreel.core.server.ProtocolServer;
@@ -32,8 +33,12 @@
 
     /** A server without connections. */
     public RsyncServer(
-            GatewaySettings settings, BlockBackend backend, ByteBudget byteBudget, FileCatalogueStore files) {
-        super(settings, byteBudget);
+            GatewaySettings settings,
+            BlockBackend backend,
+            ByteBudget byteBudget,
+            ClosedConnections closedConnections,
+            FileCatalogueStore files) {
+        super(settings, byteBudget, closedConnections);
         this.backend = backend;
         this.files = files;
     }
--- a/core/src/main/java/garnetreel/core/server/rsync/RsyncSession.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/RsyncSession.java
@@ -7,6 +7,7 @@
 import garnetreel.codec.rsync.RsyncIn;
 import garnetreel.codec.rsync.RsyncOut;
 import garnetreel.core.GatewaySettings;
+import garnetreel.core.ending.ConnectionEnding;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.server.ProtocolServer;
 import java.nio.ByteBuffer;
@@ -45,8 +46,8 @@
         AUTHENTICATION,
         ARGUMENTS,
         TRANSFER,
-        CLOSING,
-        CLOSED
+        /** The last message has been written. */
+        CLOSING
     }
 
     final RsyncServer server;
@@ -68,30 +69,29 @@
     private long inbound;
     private long receivedBytes;
     private long sentBytes;
-    private long lastReceivedAt;
     private long lastSentAt;
     private boolean peerIoError;
 
     RsyncSession(RsyncServer server, long conn, boolean rejected, long handshakeDeadline) {
-        super(conn, rejected, handshakeDeadline);
+        super(server, conn, rejected, handshakeDeadline);
         this.server = server;
         this.blockIo = new BlockIo(server);
-        lastReceivedAt = server.time();
         lastSentAt = server.time();
     }
 
     @Override
     public void greet() {
         if (rejected) {
-            sendError("max connections (" + server.settings().bounds().connections() + ") reached -- try again later");
+            sendError(
+                    "max connections (" + server.settings().bounds().connections() + ") reached -- try again later",
+                    ConnectionEnding.EVICTED);
         } else {
             sendText("@RSYNCD: " + Rsync.VERSION + ".0\n");
         }
     }
 
     @Override
-    public void received(ByteBuffer data) {
-        lastReceivedAt = server.time();
+    protected void received(ByteBuffer data) {
         receivedBytes += data.remaining();
         if (state == State.CLOSING) {
             return;
@@ -135,42 +135,49 @@
         pump();
     }
 
+    /** A transfer in progress runs to its end. */
     @Override
-    public void disconnected() {
-        state = State.CLOSED;
-        blockIo.abandon();
-        if (transfer != null) {
-            transfer.disconnected();
-        }
-        server.byteBudget().release(outbound + inbound);
-        outbound = 0;
-        inbound = 0;
-        server.sessionEnded(this);
+    protected boolean isSettled() {
+        return state != State.TRANSFER || !ending.refusesRequests();
     }
 
     @Override
-    public void end(boolean abort) {
-        if (state != State.CLOSED) {
-            server.emit(new NetAction.Close(connectionId, abort));
-            disconnected();
-        }
+    protected void endingBegan() {}
+
+    @Override
+    protected void writeLastWords() {}
+
+    @Override
+    protected boolean hasUnsentReplies() {
+        return outbound > 0;
     }
 
-    /** Closes the connection unless a transfer is in progress, which runs to its end. */
     @Override
-    public void closeGracefully() {
-        if (state != State.TRANSFER) {
-            end(false);
+    protected void failRequestsInProgress() {}
+
+    @Override
+    protected int unansweredRequests() {
+        return state == State.TRANSFER ? 1 : 0;
+    }
+
+    @Override
+    protected void release() {
+        blockIo.abandon();
+        if (transfer != null) {
+            transfer.disconnected();
         }
+        server.byteBudget().release(outbound + inbound);
+        outbound = 0;
+        inbound = 0;
     }
 
     /** Called once a second: closes an idle connection, or sends a keep-alive if one is due. */
     void checkIdle() {
-        if (server.time() - lastReceivedAt > IDLE_TIMEOUT_US) {
+        if (server.time() - lastReceivedAt() > IDLE_TIMEOUT_US) {
             server.emit(new NetAction.Log(
                     NetAction.Level.INFO,
                     "rsync client idle for " + IDLE_TIMEOUT_US / 1_000_000 + " s; connection closed"));
-            end(true);
+            end(ConnectionEnding.IDLE);
         } else if (state == State.TRANSFER && server.time() - lastSentAt > KEEP_ALIVE_INTERVAL_US) {
             write(RsyncOut.frame(Rsync.DATA, new byte[0], 0));
         }
@@ -179,7 +186,7 @@
     // ---------------------------------------------------------------- output
 
     private void write(ByteBuffer data) {
-        if (data != null && state != State.CLOSED) {
+        if (data != null && !isClosed()) {
             outbound += data.remaining();
             sentBytes += data.remaining();
             server.byteBudget().release(-data.remaining()); // acquires budget for the output
@@ -192,10 +199,10 @@
         write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
     }
 
-    private void sendError(String text) {
+    private void sendError(String text, ConnectionEnding cause) {
         sendText("@ERROR: " + text + "\n");
         state = State.CLOSING;
-        end(false);
+        end(cause);
     }
 
     /** Bytes received from the peer so far. */
@@ -240,9 +247,9 @@
         if (state == State.TRANSFER) {
             sendMessage(Rsync.ERROR, "garnetreel: " + reason + "\n");
             state = State.CLOSING;
-            end(false);
-        } else if (state != State.CLOSED && state != State.CLOSING) {
-            sendError(reason);
+            end(ConnectionEnding.PROTOCOL_ERROR);
+        } else if (!isClosed() && state != State.CLOSING) {
+            sendError(reason, ConnectionEnding.PROTOCOL_ERROR);
         }
     }
 
@@ -250,7 +257,7 @@
     void finish() {
         flush();
         state = State.CLOSING;
-        end(false);
+        end(ConnectionEnding.COMPLETED);
     }
 
     // ---------------------------------------------------------------- input
@@ -267,7 +274,7 @@
             do {
                 pumpAgain = false;
                 boolean progressed = true;
-                while (progressed && state != State.CLOSED && state != State.CLOSING && steps < MAX_STEPS_PER_TURN) {
+                while (progressed && !isClosed() && state != State.CLOSING && steps < MAX_STEPS_PER_TURN) {
                     progressed = step();
                     steps++;
                 }
@@ -281,7 +288,7 @@
         } finally {
             pumping = false;
         }
-        if (state != State.CLOSED) {
+        if (!isClosed()) {
             flush();
             server.byteBudget().release(inbound - in.size());
             inbound = in.size();
@@ -304,7 +311,7 @@
             server.schedule(1, () -> {
                 continuationScheduled = false;
                 steps = 0;
-                if (state != State.CLOSED) {
+                if (!isClosed()) {
                     pump();
                 }
             });
@@ -352,7 +359,7 @@
                     .forEach(m -> sendText(String.format("%-15s\t%s\n", m.name(), m.comment())));
             sendText("@RSYNCD: EXIT\n");
             state = State.CLOSING;
-            end(false);
+            end(ConnectionEnding.COMPLETED);
             return false;
         }
         if (name.startsWith("#")) {
--- a/testbed/src/main/java/garnetreel/testbed/client/NbdLoadGenerator.java
+++ b/testbed/src/main/java/garnetreel/testbed/client/NbdLoadGenerator.java
@@ -52,7 +52,7 @@
         public long served;
         /** Requests in {@link #served} answered within the latency objective. */
         public long inTime;
-        /** Requests whose last attempt was rejected with ENOMEM. */
+        /** Requests whose last attempt was rejected with ENOMEM or ESHUTDOWN. */
         public long rejected;
         /** Requests whose last attempt was answered with another error. */
         public long failed;
@@ -259,7 +259,7 @@
         LoadRequest request = attempt.request;
         switch (attempt.error) {
             case 0 -> handleSuccess(tag, attempt);
-            case Nbd.ENOMEM -> {
+            case Nbd.ENOMEM, Nbd.ESHUTDOWN -> {
                 trace(Kind.REPLY, tag, request, "refused");
                 if (!retry(attempt)) {
                     tally(request).rejected++;
