Requests of NBD clients before malformed input are answered before the connection ends

What callers saw: bytes that are no request, or a write too long to be skipped, reset the connection at once; requests under way on it were never answered, and the too long write got no error.

Cause: the session ended a connection at a protocol error with an abort. The row PROTOCOL_ERROR of the table of endings now owes answers: what was received before is answered, then the connection is closed in order.

--- a/cli/src/test/java/garnetreel/cli/testing/driven/NbdEndingsTest.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/NbdEndingsTest.java
@@ -189,6 +189,27 @@
 
     // ---------------------------------------------------------------- other endings
 
+    /** Bytes that are no request ended the connection at once, with what was under way on it. */
+    @Test
+    void requestsBeforeMalformedInputAreAnswered() {
+        long longWrite = beginLongWrite();
+        client.sendBytes(new byte[28]);
+        gateway.advance(LONG_WRITE_MICROS);
+        assertServed(longWrite);
+        assertTrue(client.isClosed());
+    }
+
+    /** A payload too long to be skipped ended the connection with what was under way, and without an error. */
+    @Test
+    void aWriteOfTooManyBytesIsAnsweredBeforeTheEnd() {
+        long longWrite = beginLongWrite();
+        long tooLong = client.beginWrite(0, Integer.MAX_VALUE, 0);
+        gateway.advance(LONG_WRITE_MICROS);
+        assertServed(longWrite);
+        assertError(Nbd.ENOSPC, tooLong);
+        assertTrue(client.isClosed());
+    }
+
     /** What was sent before the client's own end is answered. */
     @Test
     void requestsBeforeADisconnectAreAnswered() {
--- a/core/src/main/java/garnetreel/core/ending/ConnectionEnding.java
+++ b/core/src/main/java/garnetreel/core/ending/ConnectionEnding.java
@@ -19,7 +19,7 @@
     /** The client stopped within a request, or sends one too slowly. */
     STALLED("stalled", false, false, true),
     /** The input can't be parsed any further. */
-    PROTOCOL_ERROR("protocol_error", false, false, true),
+    PROTOCOL_ERROR("protocol_error", true, false, false),
     /** The client does not read its replies. */
     REPLIES_UNREAD("replies_unread", false, false, true),
     /** The client or the network has closed the connection. */
