An NBD client that stops within a write gets an error before its connection ends

What callers saw: a client that sends no byte of a payload for 2.5 s was reset; replies on their way could be lost with the reset, and nothing said why.

Cause: the session aborted a stalled connection as it does one whose client reads nothing. The row STALLED of the table of endings now owes answers: the write gets ENOMEM, as nothing was done, and what is under way is answered first.

Evidence: NbdEndingsTest.aWriteThatIsNeverSentWholeIsAnsweredBeforeTheEnd failed with the row as it was and passes now.

--- a/cli/src/test/java/garnetreel/cli/testing/driven/NbdEndingsTest.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/NbdEndingsTest.java
@@ -210,6 +210,17 @@
         assertTrue(client.isClosed());
     }
 
+    /** A client that stopped within a write was reset without an error. */
+    @Test
+    void aWriteThatIsNeverSentWholeIsAnsweredBeforeTheEnd() {
+        long half = client.beginWrite(BLOCK, BLOCK, BLOCK / 2);
+        gateway.advance(2_400_000);
+        assertFalse(client.isClosed());
+        gateway.advance(600_000);
+        assertError(Nbd.ENOMEM, half);
+        assertTrue(client.isClosed());
+    }
+
     /** What was sent before the client's own end is answered. */
     @Test
     void requestsBeforeADisconnectAreAnswered() {
--- a/core/src/main/java/garnetreel/core/ending/ConnectionEnding.java
+++ b/core/src/main/java/garnetreel/core/ending/ConnectionEnding.java
@@ -17,7 +17,7 @@
     /** There are too many connections. */
     EVICTED("evicted", true, false, false),
     /** The client stopped within a request, or sends one too slowly. */
-    STALLED("stalled", false, false, true),
+    STALLED("stalled", true, false, false),
     /** The input can't be parsed any further. */
     PROTOCOL_ERROR("protocol_error", true, false, false),
     /** The client does not read its replies. */
