rsync clients are told that the gateway shuts down, in their negotiation and in a transfer

What callers saw: after SIGTERM a client in its negotiation had its connection closed without a word; a push or pull that did not end in time was reset when the process ended.

Cause: RsyncSession.closeGracefully closed the one and left the other to the end of the process. The row SHUTDOWN of the table of endings holds here too now: words at once in the negotiation, in a transfer a second before the shutdown's time is over. The negotiation has a class of its own, RsyncHandshake.

--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenGateway.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenGateway.java
@@ -41,6 +41,7 @@
     private long now = START_MICROS;
     private long lastClientId;
     private final Set<Long> nonReaders = new HashSet<>();
+    private final Set<Long> withoutWrittenEvents = new HashSet<>();
     private boolean appendsHeld;
     private boolean inTurn;
     private boolean stopped;
@@ -149,6 +150,18 @@
     /** The client reads nothing from now on: what the gateway writes to it does not leave the gateway. */
     void stopReading(long clientId) {
         nonReaders.add(clientId);
+        withoutWrittenEvents.add(clientId);
+    }
+
+    /** The next client that connects gets what is written to it, but the gateway is not told that it has left. */
+    void holdWrittenOfNextClient() {
+        withoutWrittenEvents.add(lastClientId + 1);
+    }
+
+    /** The gateway is told that a number of bytes have left for the client that connected last. */
+    void reportWritten(int bytes) {
+        pendingEvents.add(new NetEvent.Written(lastClientId, bytes));
+        turn();
     }
 
     /** Tells the gateway to end, as SIGTERM does. */
@@ -251,7 +264,7 @@
         } else if (client != null && !nonReaders.contains(write.connectionId())) {
             client.received(write.data());
         }
-        if (!nonReaders.contains(write.connectionId())) {
+        if (!withoutWrittenEvents.contains(write.connectionId())) {
             pendingEvents.add(new NetEvent.Written(write.connectionId(), length));
         }
     }
--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenRsyncClient.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenRsyncClient.java
@@ -50,6 +50,7 @@
     private State state = State.GREETING;
     private int phaseEnds;
     private boolean ended;
+    private boolean closed;
     private String errors = "";
 
     private enum Kind {
@@ -117,6 +118,11 @@
         return pulled.get(name);
     }
 
+    /** Whether the gateway has closed the connection. */
+    boolean isClosed() {
+        return closed;
+    }
+
     /** Breaks off the connection. */
     void disconnect() {
         gateway.disconnect(connectionId);
@@ -128,6 +134,7 @@
 
     @Override
     public void closed() {
+        closed = true;
         if (!ended) {
             errors += "the connection was closed";
         }
--- a/core/src/main/java/garnetreel/core/Gateway.java
+++ b/core/src/main/java/garnetreel/core/Gateway.java
@@ -176,7 +176,7 @@
             actions.add(new NetAction.StopListening(RSYNC));
         }
         nbd.shutDown();
-        rsync.shutDown();
+        rsync.shutDown(shutdownDeadline - now);
     }
 
     // ---------------------------------------------------------------- deadlines
--- a/core/src/main/java/garnetreel/core/ending/DrainTimes.java
+++ b/core/src/main/java/garnetreel/core/ending/DrainTimes.java
@@ -9,5 +9,13 @@
     /** Time in which a client has to take a byte of its replies. */
     public static final long UNREAD_REPLIES_MICROS = 5_000_000;
 
+    /** Part of a shutdown's time that is kept for the client to read why its transfer has ended. */
+    private static final long FAREWELL_MICROS = 1_000_000;
+
     private DrainTimes() {}
+
+    /** Time after the beginning of a shutdown at which transfers are ended, if the shutdown may take this long. */
+    public static long transferLimit(long shutdownMicros) {
+        return Math.max(shutdownMicros / 2, shutdownMicros - FAREWELL_MICROS);
+    }
 }
--- a/core/src/main/java/garnetreel/core/server/rsync/RsyncServer.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/RsyncServer.java
@@ -3,6 +3,7 @@
 import garnetreel.codec.rsync.Checksums;
 import garnetreel.core.GatewaySettings;
 import garnetreel.core.ending.ClosedConnections;
+import garnetreel.core.ending.DrainTimes;
 import garnetreel.core.request.BlockBackend;
 import garnetreel.core.server.ByteBudget;
 import garnetreel.core.server.ProtocolServer;
@@ -30,6 +31,8 @@
     private long lastTag;
     private long nonceCount;
     private long nextIdleCheck;
+    /** When the transfers that are still in progress are ended; {@link Long#MAX_VALUE} for never. */
+    private long transfersEndAt = Long.MAX_VALUE;
 
     /** A server without connections. */
     public RsyncServer(
@@ -86,6 +89,17 @@
         scheduled.computeIfAbsent(now() + micros, time -> new ArrayList<>(1)).add(task);
     }
 
+    /**
+     * Begins the shutdown. Transfers in progress go on for a part of its time; those that have not ended by then are
+     * told so.
+     *
+     * @param limitMicros time of the shutdown
+     */
+    public void shutDown(long limitMicros) {
+        transfersEndAt = now() + DrainTimes.transferLimit(limitMicros);
+        shutDown();
+    }
+
     @Override
     protected RsyncSession open(long conn, boolean full, long handshakeDeadline) {
         return new RsyncSession(this, conn, full, handshakeDeadline);
@@ -94,8 +108,8 @@
     @Override
     public long nextDeadline() {
         long next = connections() == 0 ? Long.MAX_VALUE : Math.max(now(), nextIdleCheck);
-        return Math.min(
-                Math.min(next, super.nextDeadline()), scheduled.isEmpty() ? Long.MAX_VALUE : scheduled.firstKey());
+        next = Math.min(next, scheduled.isEmpty() ? Long.MAX_VALUE : scheduled.firstKey());
+        return Math.min(Math.min(next, transfersEndAt), super.nextDeadline());
     }
 
     @Override
@@ -104,6 +118,10 @@
         while (!scheduled.isEmpty() && scheduled.firstKey() <= now()) {
             scheduled.pollFirstEntry().getValue().forEach(Runnable::run);
         }
+        if (now() >= transfersEndAt) {
+            transfersEndAt = Long.MAX_VALUE;
+            sessions().forEach(RsyncSession::endTransfer);
+        }
         if (now() >= nextIdleCheck) {
             nextIdleCheck = now() + IDLE_CHECK_INTERVAL_US;
             sessions().forEach(RsyncSession::checkIdle);
--- a/core/src/main/java/garnetreel/core/server/rsync/RsyncSession.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/RsyncSession.java
@@ -1,30 +1,23 @@
 package garnetreel.core.server.rsync;
 
 import garnetreel.codec.ProtocolException;
-import garnetreel.codec.rsync.Checksums;
 import garnetreel.codec.rsync.MultiplexedFrames;
 import garnetreel.codec.rsync.Rsync;
 import garnetreel.codec.rsync.RsyncIn;
 import garnetreel.codec.rsync.RsyncOut;
 import garnetreel.core.GatewaySettings;
 import garnetreel.core.ending.ConnectionEnding;
+import garnetreel.core.ending.DrainTimes;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.server.ProtocolServer;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.util.ArrayList;
-import java.util.Base64;
-import java.util.List;
 
 /**
  * One rsync connection in daemon mode: greeting, module, authentication if the module has users, arguments, then a
  * {@link Transfer}. A protocol error closes the connection with a message; an error with a single file does not.
  */
 final class RsyncSession extends ProtocolServer.Session {
-    private static final int MAX_LINE_LENGTH = 1024;
-    private static final int MAX_ARGUMENT_LENGTH = 8 << 10;
-    private static final int MAX_ARGUMENTS = 1_000;
     /** Limit in bytes of unsent output, past which no more is produced. */
     static final int MAX_OUTBOUND = 1 << 20;
 
@@ -35,16 +28,15 @@
      * or sends some hundred list entries.
      */
     private static final int MAX_STEPS_PER_TURN = 32;
+
+    private static final String SHUTTING_DOWN = "this gateway is shutting down -- try again later or another one";
     /** Idle time after which a connection is closed; a peer may be busy with its own disk during a transfer. */
     private static final long IDLE_TIMEOUT_US = 600_000_000;
     /** Time without output after which a keep-alive is sent, for example while a rejected block is retried. */
     private static final long KEEP_ALIVE_INTERVAL_US = 15_000_000;
 
     private enum State {
-        GREETING,
-        MODULE,
-        AUTHENTICATION,
-        ARGUMENTS,
+        NEGOTIATION,
         TRANSFER,
         /** The last message has been written. */
         CLOSING
@@ -55,11 +47,9 @@
     final RsyncOut out = new RsyncOut();
     final BlockIo blockIo;
     private final MultiplexedFrames demultiplexer = new MultiplexedFrames();
-    private final List<String> arguments = new ArrayList<>();
-    private State state = State.GREETING;
-    private GatewaySettings.Module module;
+    private final RsyncHandshake handshake;
+    private State state = State.NEGOTIATION;
     private Transfer transfer;
-    private String challenge = "";
     private boolean readInterest = true;
     private boolean pumping;
     private boolean pumpAgain;
@@ -70,21 +60,24 @@
     private long receivedBytes;
     private long sentBytes;
     private long lastSentAt;
+    /** When bytes were last taken by the client, or the first ones written. */
+    private long lastTakenAt;
+
     private boolean peerIoError;
 
     RsyncSession(RsyncServer server, long conn, boolean rejected, long handshakeDeadline) {
         super(server, conn, rejected, handshakeDeadline);
         this.server = server;
         this.blockIo = new BlockIo(server);
+        this.handshake = new RsyncHandshake(this);
         lastSentAt = server.time();
     }
 
     @Override
     public void greet() {
         if (rejected) {
-            sendError(
-                    "max connections (" + server.settings().bounds().connections() + ") reached -- try again later",
-                    ConnectionEnding.EVICTED);
+            writeError("max connections (" + server.settings().bounds().connections() + ") reached -- try again later");
+            end(ConnectionEnding.EVICTED);
         } else {
             sendText("@RSYNCD: " + Rsync.VERSION + ".0\n");
         }
@@ -125,9 +118,11 @@
 
     @Override
     public void written(int bytes) {
+        lastTakenAt = server.time();
         outbound -= bytes;
         server.byteBudget().release(bytes);
         pump();
+        closeIfSettled();
     }
 
     @Override
@@ -135,14 +130,23 @@
         pump();
     }
 
-    /** A transfer in progress runs to its end. */
     @Override
     protected boolean isSettled() {
-        return state != State.TRANSFER || !ending.refusesRequests();
+        return state == State.CLOSING || ending.cause() == ConnectionEnding.IDLE;
     }
 
+    /** A transfer in progress goes on after a shutdown began, until {@link #endTransfer}. */
     @Override
-    protected void endingBegan() {}
+    protected void endingBegan() {
+        if (ending.cause() == ConnectionEnding.SHUTDOWN && state == State.NEGOTIATION) {
+            writeError(SHUTTING_DOWN);
+        }
+    }
+
+    /** Ends a transfer in progress, as the time for the shutdown is over. */
+    void endTransfer() {
+        writeError(SHUTTING_DOWN);
+    }
 
     @Override
     protected void writeLastWords() {}
@@ -153,7 +157,9 @@
     }
 
     @Override
-    protected void failRequestsInProgress() {}
+    protected void failRequestsInProgress() {
+        endTransfer();
+    }
 
     @Override
     protected int unansweredRequests() {
@@ -171,9 +177,11 @@
         inbound = 0;
     }
 
-    /** Called once a second: closes an idle connection, or sends a keep-alive if one is due. */
+    /** Called once a second: closes a connection that is idle or not read, or sends a keep-alive if one is due. */
     void checkIdle() {
-        if (server.time() - lastReceivedAt() > IDLE_TIMEOUT_US) {
+        if (ending.hasBegun() && outbound > 0 && server.time() - lastTakenAt >= DrainTimes.UNREAD_REPLIES_MICROS) {
+            end(ConnectionEnding.REPLIES_UNREAD);
+        } else if (server.time() - lastReceivedAt() > IDLE_TIMEOUT_US) {
             server.emit(new NetAction.Log(
                     NetAction.Level.INFO,
                     "rsync client idle for " + IDLE_TIMEOUT_US / 1_000_000 + " s; connection closed"));
@@ -187,6 +195,7 @@
 
     private void write(ByteBuffer data) {
         if (data != null && !isClosed()) {
+            lastTakenAt = outbound == 0 ? server.time() : lastTakenAt;
             outbound += data.remaining();
             sentBytes += data.remaining();
             server.byteBudget().release(-data.remaining()); // acquires budget for the output
@@ -195,14 +204,21 @@
         }
     }
 
-    private void sendText(String text) {
+    void sendText(String text) {
         write(ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
     }
 
-    private void sendError(String text, ConnectionEnding cause) {
-        sendText("@ERROR: " + text + "\n");
+    /** Writes an error that clients print, as the last message, in the form that they expect at this point. */
+    private void writeError(String text) {
+        if (state == State.NEGOTIATION && !handshake.readsArguments()) {
+            sendText("@ERROR: " + text + "\n");
+        } else if (state != State.CLOSING) {
+            if (state == State.NEGOTIATION) {
+                beginMultiplexing();
+            }
+            sendMessage(Rsync.ERROR, "garnetreel: " + text + "\n");
+        }
         state = State.CLOSING;
-        end(cause);
     }
 
     /** Bytes received from the peer so far. */
@@ -244,12 +260,9 @@
     /** Closes the connection after a protocol error, with a message that clients print. */
     private void fail(String reason) {
         server.emit(new NetAction.Log(NetAction.Level.DEBUG, "rsync: " + reason + "; connection closed"));
-        if (state == State.TRANSFER) {
-            sendMessage(Rsync.ERROR, "garnetreel: " + reason + "\n");
-            state = State.CLOSING;
+        if (!isClosed() && state != State.CLOSING) {
+            writeError(reason);
             end(ConnectionEnding.PROTOCOL_ERROR);
-        } else if (!isClosed() && state != State.CLOSING) {
-            sendError(reason, ConnectionEnding.PROTOCOL_ERROR);
         }
     }
 
@@ -320,119 +333,30 @@
 
     private boolean step() throws ProtocolException {
         return switch (state) {
-            case GREETING -> readGreeting();
-            case MODULE -> readModule();
-            case AUTHENTICATION -> authenticate();
-            case ARGUMENTS -> readArgument();
+            case NEGOTIATION -> negotiate();
             case TRANSFER -> transfer.step();
-            default -> false;
+            case CLOSING -> false;
         };
     }
 
-    private boolean readGreeting() throws ProtocolException {
-        String line = in.until('\n', MAX_LINE_LENGTH);
-        if (line == null) {
-            return false;
-        }
-        if (!line.matches("@RSYNCD: [0-9]{1,4}(\\.[0-9]{1,4})?( .*)?")) {
-            throw new ProtocolException("protocol startup error");
-        }
-        int version = Integer.parseInt(line.substring(9).split("[. ]")[0]);
-        if (version < Rsync.MIN_VERSION) {
-            throw new ProtocolException(
-                    "protocol version " + version + " is not offered; " + Rsync.MIN_VERSION + " is the oldest");
-        }
-        state = State.MODULE;
-        return true;
-    }
-
-    private boolean readModule() throws ProtocolException {
-        String line = in.until('\n', MAX_LINE_LENGTH);
-        if (line == null) {
-            return false;
-        }
-        String name = line.strip();
-        if (name.isEmpty() || name.equals("#list")) {
-            server.settings()
-                    .files()
-                    .modules()
-                    .forEach(m -> sendText(String.format("%-15s\t%s\n", m.name(), m.comment())));
-            sendText("@RSYNCD: EXIT\n");
-            state = State.CLOSING;
-            end(ConnectionEnding.COMPLETED);
-            return false;
-        }
-        if (name.startsWith("#")) {
-            throw new ProtocolException("Unknown command '" + name + "'");
-        }
-        module = server.module(name);
-        if (module == null) {
-            throw new ProtocolException("Unknown module '" + name + "'");
-        }
-        if (module.users().isEmpty()) {
-            beginArguments();
-        } else {
-            challenge = base64(server.nonce());
-            sendText("@RSYNCD: AUTHREQD " + challenge + "\n");
-            state = State.AUTHENTICATION;
-        }
-        return true;
-    }
-
-    private static String base64(byte[] bytes) {
-        return Base64.getEncoder().withoutPadding().encodeToString(bytes);
-    }
-
-    private boolean authenticate() throws ProtocolException {
-        String line = in.until('\n', MAX_LINE_LENGTH);
-        if (line == null) {
+    private boolean negotiate() throws ProtocolException {
+        if (!handshake.step()) {
             return false;
         }
-        int space = line.indexOf(' ');
-        String user = space < 0 ? line : line.substring(0, space);
-        // Unknown users are compared as well, so that the time taken does not reveal which users exist.
-        String password = module.users().getOrDefault(user, "");
-        MessageDigest md5 = Checksums.md5();
-        md5.update(password.getBytes(StandardCharsets.UTF_8));
-        md5.update(challenge.getBytes(StandardCharsets.US_ASCII));
-        byte[] expected = base64(md5.digest()).getBytes(StandardCharsets.US_ASCII);
-        byte[] response = line.substring(space + 1).getBytes(StandardCharsets.ISO_8859_1);
-        if (!MessageDigest.isEqual(expected, response) || !module.users().containsKey(user)) {
-            server.emit(new NetAction.Log(NetAction.Level.WARN, "rsync: auth failed on module " + module.name()));
-            throw new ProtocolException("auth failed on module " + module.name());
+        if (handshake.isComplete()) {
+            beginTransfer();
         }
-        beginArguments();
         return true;
     }
 
-    private void beginArguments() {
-        sendText("@RSYNCD: OK\n");
-        state = State.ARGUMENTS;
-    }
-
-    private boolean readArgument() throws ProtocolException {
-        String argument = in.until('\0', MAX_ARGUMENT_LENGTH);
-        if (argument == null) {
-            return false;
-        }
-        if (!argument.isEmpty()) {
-            if (arguments.size() >= MAX_ARGUMENTS) {
-                throw new ProtocolException("more than " + MAX_ARGUMENTS + " arguments");
-            }
-            arguments.add(argument);
-            return true;
-        }
+    private void beginTransfer() throws ProtocolException {
         server.handshakeCompleted(this);
         state = State.TRANSFER;
-        // No compatibility flag is set: no incremental file list and no negotiated checksums, so that MD5 and the
-        // encodings of protocol version 30 apply.
-        byte[] nonce = server.nonce();
-        int seed = ByteBuffer.wrap(nonce).getInt() | 1;
-        out.varint(0).i32(seed);
-        write(out.take());
+        int seed = beginMultiplexing();
         RsyncIn demultiplexed = new RsyncIn();
         byte[] buffered = takeInput();
-        TransferOptions options = TransferOptions.parse(arguments);
+        TransferOptions options = TransferOptions.parse(handshake.arguments());
+        GatewaySettings.Module module = handshake.module();
         if (!options.sender && module.readOnly()) {
             throw new ProtocolException("module " + module.name() + " is read only");
         }
@@ -441,7 +365,20 @@
                 : new FileReceiver(this, module, options, seed);
         demultiplexer.add(ByteBuffer.wrap(buffered), demultiplexed, this::handleMessage);
         in.add(ByteBuffer.wrap(takeAll(demultiplexed)));
-        return true;
+    }
+
+    /**
+     * Sends what clients expect in reply to their arguments; after it, all output is multiplexed. No compatibility flag
+     * is set: no incremental file list and no negotiated checksums, so that MD5 and the encodings of protocol version
+     * 30 apply.
+     *
+     * @return the seed of checksums
+     */
+    private int beginMultiplexing() {
+        int seed = ByteBuffer.wrap(server.nonce()).getInt() | 1;
+        out.varint(0).i32(seed);
+        write(out.take());
+        return seed;
     }
 
     private byte[] takeInput() {
