rsync clients that are silent for too long are told so before their connection ends

What callers saw: a negotiation that takes too long, or ten silent minutes within a transfer, ended with a reset and without a word.

Evidence: RsyncEndingsTest.silentClientsAreToldThatTheyWereTooLate, both forms, failed before (one run) and pass now.

--- a/cli/src/test/java/garnetreel/cli/testing/driven/RsyncEndingsTest.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/RsyncEndingsTest.java
@@ -20,6 +20,8 @@
     /** Longer than the gateway may take to stop. */
     private static final long HANG_MICROS = 10 * DrivenSettings.TIME_LIMIT_MICROS;
 
+    private static final long IDLE_TIMEOUT_MICROS = 600_000_000;
+
     private static final DrivenRsyncClient.PushedFile FILE =
             new DrivenRsyncClient.PushedFile("births", 0644, 1_700_000_000, new byte[40_000]);
 
@@ -123,4 +125,18 @@
         assertTrue(late.text.toString().contains(SHUTTING_DOWN));
         assertStopsInTime();
     }
+
+    /** A client that is silent for too long was reset without a word, in its negotiation and within a push. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "@RSYNCD: 30.0\n",
+                "@RSYNCD: 30.0\nregisters\n--server\0-ltpWre.i\0.\0registers/\0\0",
+            })
+    void silentClientsAreToldThatTheyWereTooLate(String sent) {
+        RawClient client = new RawClient().send(sent);
+        gateway.advance(IDLE_TIMEOUT_MICROS + 2_000_000);
+        assertTrue(client.text.toString().contains("timeout"), client.text.toString());
+        assertTrue(client.closed);
+    }
 }
--- a/core/src/main/java/garnetreel/core/server/rsync/RsyncSession.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/RsyncSession.java
@@ -132,13 +132,15 @@
 
     @Override
     protected boolean isSettled() {
-        return state == State.CLOSING || ending.cause() == ConnectionEnding.IDLE;
+        return state == State.CLOSING;
     }
 
     /** A transfer in progress goes on after a shutdown began, until {@link #endTransfer}. */
     @Override
     protected void endingBegan() {
-        if (ending.cause() == ConnectionEnding.SHUTDOWN && state == State.NEGOTIATION) {
+        if (ending.cause() == ConnectionEnding.IDLE) {
+            writeError("timeout: nothing was received for too long");
+        } else if (ending.cause() == ConnectionEnding.SHUTDOWN && state == State.NEGOTIATION) {
             writeError(SHUTTING_DOWN);
         }
     }
