A pull is closed only when its client has read it, however slowly it reads

What callers saw: a client that takes more than 5 s for the last part of a pull (1 MiB at most) had its connection reset before it had read all.

Cause: the session closed its connection as soon as the last bytes were written, and the socket sends what is queued within 5 s in all. A connection whose end has begun now waits until its bytes have left; a client that takes no byte for 5 s is closed as one with unread replies.

--- a/cli/src/test/java/garnetreel/cli/testing/driven/RsyncEndingsTest.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/RsyncEndingsTest.java
@@ -21,6 +21,8 @@
     private static final long HANG_MICROS = 10 * DrivenSettings.TIME_LIMIT_MICROS;
 
     private static final long IDLE_TIMEOUT_MICROS = 600_000_000;
+    /** Time in which a client has to take a byte of what was written to it. */
+    private static final long UNREAD_MICROS = 5_000_000;
 
     private static final DrivenRsyncClient.PushedFile FILE =
             new DrivenRsyncClient.PushedFile("births", 0644, 1_700_000_000, new byte[40_000]);
@@ -139,4 +141,22 @@
         assertTrue(client.text.toString().contains("timeout"), client.text.toString());
         assertTrue(client.closed);
     }
+
+    /** The end of a pull was cut for a client that takes longer than 5 s to read it. */
+    @Test
+    void aPullIsNotClosedWhileItsClientStillReads() {
+        DrivenRsyncClient push = DrivenRsyncClient.push(gateway, DrivenSettings.MODULE, FILE);
+        gateway.advance(SETTLE_MICROS);
+        assertTrue(push.isConfirmed());
+        gateway.holdWrittenOfNextClient();
+        DrivenRsyncClient pull = DrivenRsyncClient.pull(gateway, DrivenSettings.MODULE);
+        gateway.advance(UNREAD_MICROS - SETTLE_MICROS);
+        assertTrue(pull.isConfirmed(), pull.errors());
+        assertFalse(pull.isClosed(), "closed while bytes were left to be read");
+        gateway.reportWritten(1);
+        gateway.advance(UNREAD_MICROS - SETTLE_MICROS);
+        assertFalse(pull.isClosed(), "closed while its client still reads");
+        gateway.advance(2_000_000);
+        assertTrue(pull.isClosed(), "still open though nothing is read");
+    }
 }
--- a/core/src/main/java/garnetreel/core/server/rsync/RsyncSession.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/RsyncSession.java
@@ -132,7 +132,7 @@
 
     @Override
     protected boolean isSettled() {
-        return state == State.CLOSING;
+        return state == State.CLOSING && outbound == 0;
     }
 
     /** A transfer in progress goes on after a shutdown began, until {@link #endTransfer}. */
