A client that sends HTTP requests without end no longer keeps the process from ending

What callers saw: after SIGTERM a client that always has a further request on its way kept its connection, and so the process, until SIGKILL.

Cause: a response is the last one only if no input is there, and nothing limited how long input may come. Connections are read for the longest deadline after the draining began; what was read is answered, then they are closed. HTTP connections close by the table of endings too, and are counted by it. The memory of their input is accounted by a class of its own, HttpInputMemory.

--- a/core/src/main/java/garnetreel/core/platform/HttpClientConnection.java
+++ b/core/src/main/java/garnetreel/core/platform/HttpClientConnection.java
@@ -3,6 +3,7 @@
 import garnetreel.codec.ProtocolException;
 import garnetreel.codec.http.HttpRequest;
 import garnetreel.codec.http.HttpRequestParser;
+import garnetreel.core.ending.ConnectionEnding;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 
@@ -31,15 +32,18 @@
     private record ReceivedBytes(ByteBuffer data, long receivedAt) {}
 
     final long id;
-    /** Whether the connection is closed after the response; no further request on it is parsed. */
-    boolean closeAfterResponse;
     /** Bytes of the response that have not been written to the client's socket. */
     int unsentBytes;
     /** Memory of the partial request, as it was last added to that of all connections. */
     int accountedPartialBytes;
+    /** Bytes that wait to be parsed, as they were last added to those of all connections. */
+    int accountedPendingBytes;
 
     private HttpRequestParser parser = new HttpRequestParser();
     private final ArrayDeque<ReceivedBytes> pendingInput = new ArrayDeque<>(1);
+    /** Why the connection is closed after the response; null if it stays open. */
+    private ConnectionEnding ending;
+
     private State state = State.AWAITING_REQUEST;
     private long stateSince;
     /**
@@ -78,6 +82,25 @@
         stateSince = since;
     }
 
+    /** The connection is closed after the response, for this reason unless there is one; no further request is parsed. */
+    void endAfterResponse(ConnectionEnding cause) {
+        ending = ending == null ? cause : ending;
+    }
+
+    boolean closesAfterResponse() {
+        return ending != null;
+    }
+
+    /** Why the connection is closed after the response; null if it stays open. */
+    ConnectionEnding ending() {
+        return ending;
+    }
+
+    /** Number of requests that have been taken up or counted, and not answered. */
+    int unansweredRequests() {
+        return (state == State.PROCESSING ? 1 : 0) + requestsToReject;
+    }
+
     /** Whether the next request may be parsed, which is not the case until the previous response has been written. */
     boolean acceptsNextRequest() {
         return state == State.AWAITING_REQUEST || state == State.IDLE || state == State.READING_REQUEST;
--- a/core/src/main/java/garnetreel/core/platform/HttpClientConnectionTable.java
+++ b/core/src/main/java/garnetreel/core/platform/HttpClientConnectionTable.java
@@ -1,5 +1,6 @@
 package garnetreel.core.platform;
 
+import garnetreel.core.ending.DrainTimes;
 import garnetreel.core.platform.HttpClientConnection.State;
 import java.util.Comparator;
 import java.util.EnumMap;
@@ -19,18 +20,12 @@
     private static final long IDLE_TIMEOUT_UNDER_LOAD_MICROS = 2_000_000;
     /** Idle timeout in microseconds otherwise. */
     private static final long IDLE_TIMEOUT_MICROS = 60_000_000;
-    /** Time limit for writing a response, in microseconds; a client that has not read it by then is disconnected. */
-    private static final long WRITE_TIMEOUT_MICROS = 5_000_000;
     /**
      * How long a new connection is protected from eviction, in microseconds. Its request may still be in the socket
      * buffer, because a connection accepted in one iteration of the event loop is read in the next. Meanwhile
      * {@link ResourceLimits#maxAccepted} limits the number of connections.
      */
     private static final long EVICTION_GRACE_MICROS = 20_000;
-    /** While draining: time limit for the first byte on a new connection, in microseconds. */
-    private static final long DRAINING_FIRST_BYTE_TIMEOUT_MICROS = 200_000;
-    /** While draining: time limit for the rest of a partial request, in microseconds. */
-    private static final long DRAINING_REQUEST_TIMEOUT_MICROS = 1_000_000;
     /** No time limit; half of the range of a long, so that adding a time to it does not overflow. */
     private static final long NO_TIMEOUT = Long.MAX_VALUE / 2;
 
@@ -42,6 +37,8 @@
     private final Map<State, TreeSet<HttpClientConnection>> byState = new EnumMap<>(State.class);
 
     private boolean draining;
+    /** Whether the connections are no longer read, so that partial requests are never completed. */
+    private boolean readingStopped;
 
     HttpClientConnectionTable(int maxConnections) {
         this.maxConnections = maxConnections;
@@ -129,6 +126,11 @@
         draining = true;
     }
 
+    /** The connections are no longer read. */
+    void stopReading() {
+        readingStopped = true;
+    }
+
     boolean draining() {
         return draining;
     }
@@ -141,14 +143,21 @@
 
     private long timeLimit(State state) {
         return switch (state) {
-            case AWAITING_REQUEST -> draining ? DRAINING_FIRST_BYTE_TIMEOUT_MICROS : REQUEST_TIMEOUT_MICROS;
-            case READING_REQUEST -> draining ? DRAINING_REQUEST_TIMEOUT_MICROS : REQUEST_TIMEOUT_MICROS;
+            case AWAITING_REQUEST -> draining ? DrainTimes.SILENCE_MICROS : REQUEST_TIMEOUT_MICROS;
+            case READING_REQUEST -> partialRequestTimeLimit();
             case IDLE -> byId.size() > maxConnections / 2 ? IDLE_TIMEOUT_UNDER_LOAD_MICROS : IDLE_TIMEOUT_MICROS;
-            case WRITING_RESPONSE, CLOSING -> WRITE_TIMEOUT_MICROS;
+            case WRITING_RESPONSE, CLOSING -> DrainTimes.UNREAD_REPLIES_MICROS;
             case PROCESSING -> NO_TIMEOUT;
         };
     }
 
+    private long partialRequestTimeLimit() {
+        if (!draining) {
+            return REQUEST_TIMEOUT_MICROS;
+        }
+        return readingStopped ? 0 : DrainTimes.REST_OF_REQUEST_MICROS;
+    }
+
     /** When the next eviction or time limit is due. */
     long nextDeadline() {
         HttpClientConnection awaiting = oldest(State.AWAITING_REQUEST);
--- a/core/src/main/java/garnetreel/core/platform/HttpClientConnections.java
+++ b/core/src/main/java/garnetreel/core/platform/HttpClientConnections.java
@@ -3,6 +3,8 @@
 import garnetreel.codec.ProtocolException;
 import garnetreel.codec.http.HttpRequest;
 import garnetreel.codec.http.HttpWriter;
+import garnetreel.core.ending.ClosedConnections;
+import garnetreel.core.ending.ConnectionEnding;
 import garnetreel.core.io.ConnectionHandler;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetEvent;
@@ -55,13 +57,18 @@
     /** Total response bytes that have not been written to the clients' sockets. */
     private int unsentBytes;
 
-    private int pendingInputBytes;
-    /** Memory of all requests that have been received in part. */
-    private long partialRequestBytes;
+    private final HttpInputMemory inputMemory = new HttpInputMemory();
 
-    HttpClientConnections(ResourceLimits limits, GatewayCounters counters, Listener listener) {
+    private final ClosedConnections closedConnections = new ClosedConnections();
+    private final long longestTimeLimit;
+    /** When the connections are no longer read, during the shutdown. */
+    private long readUntil = Long.MAX_VALUE;
+
+    /** @param longestTimeLimit of a request class, in microseconds */
+    HttpClientConnections(ResourceLimits limits, GatewayCounters counters, long longestTimeLimit, Listener listener) {
         this.limits = limits;
         this.counters = counters;
+        this.longestTimeLimit = longestTimeLimit;
         this.listener = listener;
         this.connections = new HttpClientConnectionTable(limits.maxClients());
     }
@@ -104,6 +111,7 @@
     @Override
     public void closed(NetEvent.Closed event) {
         HttpClientConnection connection = connections.get(event.connectionId());
+        closedConnections.count(ConnectionEnding.PEER_GONE, connection.unansweredRequests());
         remove(connection);
         if (connection.state() == State.PROCESSING) {
             listener.clientDisconnected(connection.id);
@@ -111,43 +119,40 @@
     }
 
     /**
-     * Closes a connection. Every close that the gateway initiates goes through this method, which detects a close
-     * before a pending response: to the request in progress, or to one that was only counted. A close is no violation
-     * if the client does not read its responses.
+     * Closes a connection. Every close that the gateway initiates goes through this method or, after a last response,
+     * through {@link #write}; it detects a close before a response that was owed.
      */
-    private void close(HttpClientConnection connection, boolean abort, Event reason) {
-        counters.count(reason);
-        boolean responsePending = connection.state() == State.PROCESSING || connection.hasRequestsToReject();
-        if (responsePending && reason != Event.CLOSED_RESPONSE_UNREAD) {
+    private void close(HttpClientConnection connection, ConnectionEnding ending) {
+        counters.count(eventOf(ending));
+        int unanswered = connection.unansweredRequests();
+        if (unanswered > 0 && ending.owesAnswers()) {
             counters.recordViolation(Invariant.CLOSED_BEFORE_RESPONSE);
         }
-        actions.add(new NetAction.Close(connection.id, abort));
+        closedConnections.count(ending, unanswered);
+        actions.add(new NetAction.Close(connection.id, ending.resetsConnection()));
         remove(connection);
     }
 
-    private void remove(HttpClientConnection connection) {
-        unsentBytes -= connection.unsentBytes;
-        connection.unsentBytes = 0;
-        discardInput(connection);
-        discardPartialRequest(connection);
-        connections.remove(connection);
+    private static Event eventOf(ConnectionEnding ending) {
+        return switch (ending) {
+            case SHUTDOWN -> Event.CLOSED_AT_SHUTDOWN;
+            case EVICTED -> Event.CLOSED_OVER_LIMIT;
+            case REPLIES_UNREAD -> Event.CLOSED_RESPONSE_UNREAD;
+            case IDLE -> Event.CLOSED_IDLE;
+            default -> throw new IllegalArgumentException("closed with its last response: " + ending);
+        };
     }
 
-    private void discardInput(HttpClientConnection connection) {
-        pendingInputBytes -= connection.pendingInputBytes();
-        connection.discardInput();
+    /** Number of connections that were closed, and of requests on them that had no response. */
+    ClosedConnections closedConnections() {
+        return closedConnections;
     }
 
-    private void discardPartialRequest(HttpClientConnection connection) {
-        connection.discardPartialRequest();
-        accountPartialRequest(connection);
-    }
-
-    /** Updates the memory of all partial requests after that of one connection may have changed. */
-    private void accountPartialRequest(HttpClientConnection connection) {
-        int bytes = connection.partialRequestBytes();
-        partialRequestBytes += bytes - connection.accountedPartialBytes;
-        connection.accountedPartialBytes = bytes;
+    private void remove(HttpClientConnection connection) {
+        unsentBytes -= connection.unsentBytes;
+        connection.unsentBytes = 0;
+        inputMemory.discard(connection);
+        connections.remove(connection);
     }
 
     // ---------------------------------------------------------------- requests
@@ -155,22 +160,22 @@
     @Override
     public void received(long connectionId, ByteBuffer data) {
         HttpClientConnection connection = connections.get(connectionId);
-        if (connection.closeAfterResponse) {
+        if (connection.closesAfterResponse()) {
             return; // no further request on this connection is answered
         }
         if (connection.overInputLimit()) {
             connection.countRequests(data, receivedAt);
-            accountPartialRequest(connection);
+            inputMemory.account(connection);
             return;
         }
-        pendingInputBytes += data.remaining();
         connection.addInput(data, receivedAt);
+        inputMemory.account(connection);
         readRequests(connection);
         limitPartialRequests(); // at once: a turn may bring parts of requests on every connection
-        if (connection.pendingInputBytes() > MAX_PENDING_INPUT_BYTES || pendingInputBytes > limits.maxBufferedBytes()) {
-            pendingInputBytes -= connection.pendingInputBytes();
+        if (connection.pendingInputBytes() > MAX_PENDING_INPUT_BYTES
+                || inputMemory.pendingInputBytes() > limits.maxBufferedBytes()) {
             connection.enterOverInputLimit(receivedAt);
-            accountPartialRequest(connection);
+            inputMemory.account(connection);
         }
     }
 
@@ -189,13 +194,13 @@
 
     private void readNextRequest(HttpClientConnection connection) throws ProtocolException {
         long inputReceivedAt = connection.nextInputReceivedAt();
-        int bytesBefore = connection.pendingInputBytes();
         HttpRequest request = connection.parseNext();
-        accountPartialRequest(connection);
-        pendingInputBytes -= bytesBefore - connection.pendingInputBytes();
+        inputMemory.account(connection);
         if (request != null) {
             connections.move(connection, State.PROCESSING, now);
-            connection.closeAfterResponse = request.fields().hasToken("Connection", "close");
+            if (request.fields().hasToken("Connection", "close")) {
+                connection.endAfterResponse(ConnectionEnding.COMPLETED);
+            }
             listener.requestReceived(connection.id, request, inputReceivedAt);
         } else if (connection.hasPartialRequest() && connection.state() != State.READING_REQUEST) {
             // On a new connection the time limit for the first request counts from when it was accepted.
@@ -223,7 +228,7 @@
     }
 
     private void answerMalformed(HttpClientConnection connection, String reason) {
-        connection.closeAfterResponse = true;
+        connection.endAfterResponse(ConnectionEnding.PROTOCOL_ERROR);
         write(connection, HttpWriter.response(HttpResponses.BAD_REQUEST), reason.getBytes(StandardCharsets.UTF_8));
     }
 
@@ -245,13 +250,12 @@
     private void write(HttpClientConnection connection, HttpWriter response, byte[] body) {
         // While draining, the connection is closed after this response unless further requests were received, whose
         // responses the client waits for.
-        boolean lastResponse = connection.closeAfterResponse
+        boolean lastResponse = connection.closesAfterResponse()
                 || connections.draining() && !connection.hasPendingInput() && !connection.overInputLimit();
         if (lastResponse) {
             response.field("Connection", "close");
-            connection.closeAfterResponse = true;
-            discardInput(connection);
-            discardPartialRequest(connection);
+            connection.endAfterResponse(ConnectionEnding.SHUTDOWN);
+            inputMemory.discard(connection);
         }
         ByteBuffer responseBytes = response.body(body, true);
         connection.unsentBytes = responseBytes.remaining();
@@ -272,7 +276,7 @@
         for (State state : WRITING_STATES) {
             HttpClientConnection oldest = connections.oldest(state);
             while (unsentBytes > limits.maxBufferedBytes() && oldest != null) {
-                close(oldest, true, Event.CLOSED_RESPONSE_UNREAD);
+                close(oldest, ConnectionEnding.REPLIES_UNREAD);
                 oldest = connections.oldest(state);
             }
         }
@@ -287,6 +291,7 @@
             return;
         }
         if (connection.state() == State.CLOSING) {
+            closedConnections.count(connection.ending(), connection.unansweredRequests());
             remove(connection);
         } else if (connection.state() == State.WRITING_RESPONSE) {
             responseWritten(connection);
@@ -302,9 +307,8 @@
         if (connection.hasPartialRequest() && connection.state() == State.IDLE) {
             connections.move(connection, State.READING_REQUEST, connection.partialRequestSince());
         }
-        boolean closeWhenIdle = connections.draining() || connection.closeAfterResponse;
-        if (closeWhenIdle && connection.state() == State.IDLE) {
-            close(connection, false, Event.CLOSED_AT_SHUTDOWN);
+        if (connections.draining() && connection.state() == State.IDLE) {
+            close(connection, ConnectionEnding.SHUTDOWN);
         }
     }
 
@@ -312,13 +316,15 @@
 
     /**
      * Closes idle connections. From now on a connection is closed after its response unless more requests were received
-     * on it. A new connection, or one with a partial request, gets a short time to complete its request.
+     * on it. A new connection, or one with a partial request, gets a short time to complete its request. Clients that
+     * send without end are read for as long as a request received before may take.
      */
     void startDraining() {
         connections.startDraining();
+        readUntil = now + longestTimeLimit;
         HttpClientConnection idle = connections.oldest(State.IDLE);
         while (idle != null) {
-            close(idle, false, Event.CLOSED_AT_SHUTDOWN);
+            close(idle, ConnectionEnding.SHUTDOWN);
             idle = connections.oldest(State.IDLE);
         }
         for (HttpClientConnection connection : connections.allIn(State.READING_REQUEST)) {
@@ -326,13 +332,26 @@
         }
     }
 
+    private void stopReading() {
+        readUntil = Long.MAX_VALUE;
+        connections.stopReading();
+        for (State state : STATES) {
+            for (HttpClientConnection connection : connections.allIn(state)) {
+                actions.add(new NetAction.SetReadInterest(connection.id, false));
+            }
+        }
+    }
+
     /** When {@link #expire} must be called next. */
     long nextDeadline() {
-        return connections.nextDeadline();
+        return Math.min(readUntil, connections.nextDeadline());
     }
 
     /** Applies the limit on connections, then the time limits; called after all events of a turn have been handled. */
     void expire() {
+        if (now >= readUntil) {
+            stopReading();
+        }
         evictOverLimit();
         for (State state : STATES) {
             HttpClientConnection expired = connections.oldestExpired(state, now);
@@ -350,16 +369,16 @@
             if (candidate == null) {
                 return;
             }
-            close(candidate, false, Event.CLOSED_OVER_LIMIT);
+            close(candidate, ConnectionEnding.EVICTED);
         }
     }
 
     /** While requests received in part take too much memory, rejects the one that has been coming for longest. */
     private void limitPartialRequests() {
         HttpClientConnection oldest = connections.oldest(State.READING_REQUEST);
-        while (partialRequestBytes > limits.maxBufferedBytes() && oldest != null) {
+        while (inputMemory.partialRequestBytes() > limits.maxBufferedBytes() && oldest != null) {
             counters.count(Event.REQUEST_REJECTED_OVER_LIMIT);
-            oldest.closeAfterResponse = true;
+            oldest.endAfterResponse(ConnectionEnding.EVICTED);
             write(oldest, HttpWriter.response(HttpResponses.SERVICE_UNAVAILABLE), HttpResponses.NO_BODY);
             oldest = connections.oldest(State.READING_REQUEST);
         }
@@ -368,12 +387,12 @@
     private void handleTimeout(HttpClientConnection connection) {
         State state = connection.state();
         if (state == State.WRITING_RESPONSE || state == State.CLOSING) {
-            close(connection, true, Event.CLOSED_RESPONSE_UNREAD);
+            close(connection, ConnectionEnding.REPLIES_UNREAD);
         } else if (state == State.IDLE || state == State.AWAITING_REQUEST && connections.draining()) {
-            close(connection, false, connections.draining() ? Event.CLOSED_AT_SHUTDOWN : Event.CLOSED_IDLE);
+            close(connection, connections.draining() ? ConnectionEnding.SHUTDOWN : ConnectionEnding.IDLE);
         } else {
             counters.count(Event.REQUEST_TIMED_OUT);
-            connection.closeAfterResponse = true;
+            connection.endAfterResponse(ConnectionEnding.STALLED);
             write(connection, HttpWriter.response(HttpResponses.REQUEST_TIMEOUT), HttpResponses.NO_BODY);
         }
     }
--- a/core/src/main/java/garnetreel/core/platform/PlatformGateway.java
+++ b/core/src/main/java/garnetreel/core/platform/PlatformGateway.java
@@ -19,6 +19,7 @@
 import garnetreel.policy.action.RejectRequest;
 import garnetreel.policy.action.SendAttempt;
 import garnetreel.policy.action.SubscribeEndpoints;
+import garnetreel.policy.config.RequestClass;
 import garnetreel.policy.event.HealthCheckCompleted;
 import garnetreel.policy.event.Outcome;
 import garnetreel.policy.event.SchedulerEvent;
@@ -86,7 +87,7 @@
         this.scheduler = new SchedulerDriver(scheduler, this);
         this.limits = ResourceLimits.of(settings.limits(), heapBytes);
         ConnectionIdAllocator connectionIds = new ConnectionIdAllocator();
-        clients = new HttpClientConnections(limits, counters, new ClientListener());
+        clients = new HttpClientConnections(limits, counters, longestTimeLimit(settings), new ClientListener());
         upstreams = new UpstreamConnectionPool(settings, limits, connectionIds, counters, new UpstreamListener());
         discovery = new DiscoveryClient(settings, connectionIds, upstreams, event -> schedulerEvents.add(event));
         requests = new HttpRequestRegistry(
@@ -94,6 +95,13 @@
         connectionDispatcher = new ConnectionDispatcher(clients, upstreams, discovery);
     }
 
+    private static long longestTimeLimit(PlatformSettings settings) {
+        return settings.scheduling().classes().stream()
+                .mapToLong(RequestClass::timeLimit)
+                .max()
+                .orElse(0);
+    }
+
     private final class ClientListener implements HttpClientConnections.Listener {
         @Override
         public void requestReceived(long connectionId, HttpRequest request, long receivedAt) {
@@ -240,6 +248,7 @@
 
     private void logCounters(List<NetAction> actions) {
         actions.add(new NetAction.Log(Level.INFO, counters.totalsLine()));
+        actions.add(new NetAction.Log(Level.INFO, clients.closedConnections().logLine()));
         actions.add(new NetAction.Log(counters.violations() == 0 ? Level.INFO : Level.WARN, counters.invariantsLine()));
     }
 
--- a/core/src/test/java/garnetreel/core/platform/PlatformGatewayHarness.java
+++ b/core/src/test/java/garnetreel/core/platform/PlatformGatewayHarness.java
@@ -19,6 +19,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -59,6 +60,9 @@
     /** Connections whose peers read nothing, so that the bytes written to them do not drain. */
     final Set<Long> stalledPeers = new LinkedHashSet<>();
 
+    /** Connections that the gateway does not read. */
+    final Set<Long> readPaused = new HashSet<>();
+
     boolean listening;
     boolean stopped;
     long now = 1_000_000_000L;
@@ -180,6 +184,12 @@
                 pendingEvents.removeIf(
                         e -> e instanceof NetEvent.Written written && written.connectionId() == close.connectionId());
             }
+        } else if (action instanceof NetAction.SetReadInterest interest) {
+            if (interest.enabled()) {
+                readPaused.remove(interest.connectionId());
+            } else {
+                readPaused.add(interest.connectionId());
+            }
         } else if (action instanceof NetAction.Listen || action instanceof NetAction.StopListening) {
             listening = action instanceof NetAction.Listen;
         } else if (action instanceof NetAction.Stopped) {
