The map service answers its operators' commands when it is told to end

What callers saw: a command in progress at SIGTERM, or of which a part had come, ended with a closed connection, though its change may have been made.

Cause: MapServiceCommand closed the event loop at SIGTERM like a killed process. The service has a shutdown now: it answers what is in progress, refuses what comes later, tells subscribers to come back, and stops within 2 s.

--- a/cli/src/main/java/garnetreel/cli/MapServiceCommand.java
+++ b/cli/src/main/java/garnetreel/cli/MapServiceCommand.java
@@ -3,8 +3,6 @@
 import garnetreel.cli.config.Settings;
 import garnetreel.cli.config.SettingsException;
 import garnetreel.cli.config.SettingsFile;
-import garnetreel.cli.lifecycle.ExitCode;
-import garnetreel.cli.lifecycle.ProcessSignals;
 import garnetreel.map.MapState;
 import garnetreel.mapservice.MapService;
 import garnetreel.net.BackgroundStoreWriter;
@@ -27,6 +25,9 @@
         mixinStandardHelpOptions = true,
         description = "Runs the map service: stores extent maps, publishes them to gateways, and migrates extents.")
 final class MapServiceCommand implements Callable<Integer> {
+    /** Time for clients to close their side of connections after their last answer, in microseconds. */
+    private static final long LINGER_MICROS = 1_000_000;
+
     @Spec
     CommandSpec spec;
 
@@ -45,11 +46,7 @@
         EventLoop service = start(process, settings, listen, Path.of(directory));
         spec.commandLine().getOut().println("ready map://" + ServiceProcess.bound(service, MapService.LISTENER));
         spec.commandLine().getOut().flush();
-        // Needs no drain: closing the journal writer completes pending writes.
-        ProcessSignals.beforeExit("shutdown", () -> {
-            process.close();
-            return ExitCode.OK;
-        });
+        process.shutDownBeforeExit(service, new MapService.Shutdown(), MapService.SHUTDOWN_MICROS + LINGER_MICROS);
         return ServiceProcess.awaitStopped(service);
     }
 
--- a/cli/src/main/java/garnetreel/cli/ServiceProcess.java
+++ b/cli/src/main/java/garnetreel/cli/ServiceProcess.java
@@ -4,6 +4,7 @@
 import garnetreel.cli.lifecycle.ProcessSignals;
 import garnetreel.core.Gateway;
 import garnetreel.core.GatewaySettings;
+import garnetreel.core.io.NetEvent;
 import garnetreel.core.io.StateMachine;
 import garnetreel.net.Clock;
 import garnetreel.net.EventLoop;
@@ -95,11 +96,19 @@
      * with 0, or with 1 when the drain takes longer than the longest deadline of a request.
      */
     public void drainOnShutdown(EventLoop gateway, long longestDeadlineMicros) {
+        shutDownBeforeExit(gateway, new Gateway.Shutdown(), longestDeadlineMicros);
+    }
+
+    /**
+     * Makes SIGTERM shut a state machine down by a command. The process then exits with 0, or with 1 when the state
+     * machine has not stopped within the limit.
+     */
+    void shutDownBeforeExit(EventLoop eventLoop, NetEvent.Command shutdown, long limitMicros) {
         ProcessSignals.beforeExit("drain", () -> {
-            gateway.submitCommand(new Gateway.Shutdown());
+            eventLoop.submitCommand(shutdown);
             int code = ExitCode.OK;
             try {
-                gateway.stopped().get(longestDeadlineMicros, TimeUnit.MICROSECONDS);
+                eventLoop.stopped().get(limitMicros, TimeUnit.MICROSECONDS);
             } catch (InterruptedException | ExecutionException | TimeoutException e) {
                 // The interrupt flag is not restored: close() must complete pending writes before the JVM halts.
                 code = ExitCode.FAILED;
--- a/mapservice/src/main/java/garnetreel/mapservice/MapClientConnections.java
+++ b/mapservice/src/main/java/garnetreel/mapservice/MapClientConnections.java
@@ -9,6 +9,9 @@
 import garnetreel.codec.map.MapMessage.Command;
 import garnetreel.codec.map.MapMessage.Result;
 import garnetreel.codec.map.MapMessage.Subscribe;
+import garnetreel.core.ending.ClosedConnections;
+import garnetreel.core.ending.ConnectionEnding;
+import garnetreel.core.ending.EndingProgress;
 import garnetreel.core.io.NetAction;
 import garnetreel.map.MapState;
 import java.nio.ByteBuffer;
@@ -29,15 +32,31 @@
         void execute(Command command, Consumer<Result> answer);
     }
 
+    private static final Result SHUTTING_DOWN = new Result(
+            false,
+            OperatorReports.message("the map service is shutting down; nothing was done")
+                    .toString());
+    private static final Result CUT_SHORT = new Result(
+            false,
+            OperatorReports.message("the map service is shutting down; see its history for what was done")
+                    .toString());
+
     /** A connection; an operator's never subscribes. */
     private static final class ClientConnection {
         private final long connectionId;
         private final ByteQueue received = new ByteQueue();
+        private final EndingProgress ending = new EndingProgress();
         private boolean subscribed;
         private long version;
+        /** Number of commands that have not been answered. */
+        private int commandsInProgress;
+
+        private long lastReceivedAt;
+        private boolean readPaused;
 
-        ClientConnection(long connectionId) {
+        ClientConnection(long connectionId, long now) {
             this.connectionId = connectionId;
+            this.lastReceivedAt = now;
         }
     }
 
@@ -47,6 +66,8 @@
     private final CommandHandler commandHandler;
     private final RateLimiter subscribeBudget;
     private final Map<Long, ClientConnection> clients = new TreeMap<>();
+    private final ClosedConnections closedConnections = new ClosedConnections();
+    private boolean shuttingDown;
     private long nextKeepAlive;
 
     MapClientConnections(
@@ -75,16 +96,33 @@
         return clients.containsKey(connectionId);
     }
 
+    boolean isEmpty() {
+        return clients.isEmpty();
+    }
+
+    /** Numbers of the connections that have ended, and of commands on them that were not answered. */
+    ClosedConnections closedConnections() {
+        return closedConnections;
+    }
+
     void accepted(long connectionId) {
-        clients.put(connectionId, new ClientConnection(connectionId));
+        ClientConnection client = new ClientConnection(connectionId, turn.now());
+        clients.put(connectionId, client);
+        if (shuttingDown) {
+            end(client, ConnectionEnding.SHUTDOWN);
+        }
     }
 
     void closed(long connectionId) {
-        clients.remove(connectionId);
+        end(clients.get(connectionId), ConnectionEnding.PEER_GONE);
     }
 
     void received(long connectionId, ByteBuffer data) {
         ClientConnection client = clients.get(connectionId);
+        client.lastReceivedAt = turn.now();
+        if (client.ending.discardsInput()) {
+            return;
+        }
         client.received.add(data);
         try {
             MapMessage message;
@@ -102,20 +140,91 @@
         if (message instanceof Subscribe subscribe) {
             subscribe(client, subscribe);
         } else if (message instanceof Command command) {
-            commandHandler.execute(command, result -> send(client, result));
+            execute(client, command);
         } else {
             throw new ProtocolException(
                     "unexpected message " + message.getClass().getSimpleName());
         }
     }
 
+    private void execute(ClientConnection client, Command command) {
+        if (client.ending.refusesRequests()) {
+            send(client, SHUTTING_DOWN);
+            return;
+        }
+        client.commandsInProgress++;
+        commandHandler.execute(command, result -> {
+            client.commandsInProgress--;
+            send(client, result);
+            closeIfSettled(client);
+        });
+    }
+
+    // ---------------------------------------------------------------- end of connections
+
+    /** Refuses further commands, and closes each connection once the commands in progress on it are answered. */
+    void shutDown() {
+        shuttingDown = true;
+        List.copyOf(clients.values()).forEach(client -> end(client, ConnectionEnding.SHUTDOWN));
+    }
+
+    /** Ends the shutdown: answers the commands in progress with an error, and closes all connections. */
+    void finishShutdown() {
+        for (ClientConnection client : List.copyOf(clients.values())) {
+            for (; client.commandsInProgress > 0; client.commandsInProgress--) {
+                send(client, CUT_SHORT);
+            }
+            close(client);
+        }
+    }
+
+    /** Closes the connections whose end is settled, and stops reading those whose clients send without end. */
+    void expire() {
+        if (shuttingDown) {
+            List.copyOf(clients.values()).forEach(this::closeIfSettled);
+        }
+    }
+
+    private void end(ClientConnection client, ConnectionEnding cause) {
+        if (!client.ending.begin(cause, turn.now())) {
+            return;
+        }
+        if (cause.owesAnswers()) {
+            closeIfSettled(client);
+        } else {
+            close(client);
+        }
+    }
+
+    private void closeIfSettled(ClientConnection client) {
+        boolean inProgress = client.commandsInProgress > 0;
+        if (!client.ending.hasBegun() || clients.get(client.connectionId) != client) {
+            return;
+        }
+        if (!inProgress && !client.ending.awaitsInput(turn.now(), client.lastReceivedAt, client.received.size() > 0)) {
+            close(client);
+        } else if (!client.readPaused && !client.ending.readsSocket(turn.now(), inProgress)) {
+            client.readPaused = true;
+            turn.add(new NetAction.SetReadInterest(client.connectionId, false));
+        }
+    }
+
+    private void close(ClientConnection client) {
+        ConnectionEnding cause = client.ending.cause();
+        clients.remove(client.connectionId);
+        closedConnections.count(cause, client.commandsInProgress);
+        if (cause != ConnectionEnding.PEER_GONE) {
+            turn.add(new NetAction.Close(client.connectionId, cause.resetsConnection()));
+        }
+    }
+
     /**
      * Protects the service when all gateways reconnect at once: those that subscribe above the configured rate are told
      * to retry later. One of them that has no map routes by the initial placement meanwhile, and nodes reject requests
      * for migrated extents.
      */
     private void subscribe(ClientConnection client, Subscribe subscribe) {
-        if (subscribeBudget.available() < 1) {
+        if (client.ending.refusesRequests() || subscribeBudget.available() < 1) {
             send(client, new Busy(RETRY_AFTER));
             return;
         }
@@ -163,6 +272,10 @@
     }
 
     long nextDeadline() {
-        return nextKeepAlive;
+        long next = nextKeepAlive;
+        for (ClientConnection client : clients.values()) {
+            next = Math.min(next, client.ending.nextDeadline(turn.now(), client.lastReceivedAt));
+        }
+        return next;
     }
 }
--- a/mapservice/src/main/java/garnetreel/mapservice/MapService.java
+++ b/mapservice/src/main/java/garnetreel/mapservice/MapService.java
@@ -3,6 +3,8 @@
 import garnetreel.codec.map.MapMessage;
 import garnetreel.core.connection.ConnectionIdAllocator;
 import garnetreel.core.connection.NodeListClient;
+import garnetreel.core.ending.ClosedConnections;
+import garnetreel.core.ending.DrainTimes;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.io.NetAction.Level;
 import garnetreel.core.io.NetEvent;
@@ -42,6 +44,15 @@
     /** Adopts the maps from the nodes, like the operator command {@code adopt}. */
     public record AdoptCommand() implements NetEvent.Command {}
 
+    /**
+     * Commands the service to refuse further commands of operators, answer those in progress, and then emit
+     * {@link NetAction.Stopped}.
+     */
+    public record Shutdown() implements NetEvent.Command {}
+
+    /** Maximum time of a shutdown, in microseconds. */
+    public static final long SHUTDOWN_MICROS = 2_000_000;
+
     private final TurnContext turn = new TurnContext();
     private final MapServiceSettings settings;
     private final MapState state;
@@ -64,6 +75,11 @@
     private boolean renumbering;
     private boolean subscribedToNodeList;
     private long nodeListRetryAt;
+    /** Until when connections that were made before the shutdown may still be accepted. */
+    private long acceptsUntil = Long.MAX_VALUE;
+
+    private long shutdownDeadline = Long.MAX_VALUE;
+    private boolean stopped;
 
     /**
      * Creates a service that continues from a recovered state.
@@ -121,6 +137,39 @@
         }
         log.write();
         clients.keepAlive();
+        continueShutdown();
+    }
+
+    private void shutDown() {
+        if (shutdownDeadline == Long.MAX_VALUE) {
+            acceptsUntil = turn.now() + DrainTimes.SILENCE_MICROS;
+            shutdownDeadline = turn.now() + SHUTDOWN_MICROS;
+            turn.add(new NetAction.StopListening(LISTENER));
+            clients.shutDown();
+        }
+    }
+
+    private void continueShutdown() {
+        if (stopped || shutdownDeadline == Long.MAX_VALUE) {
+            return;
+        }
+        clients.expire();
+        if (turn.now() >= shutdownDeadline) {
+            clients.finishShutdown();
+        }
+        if (turn.now() >= acceptsUntil && clients.isEmpty()) {
+            stopped = true;
+            ClosedConnections closed = clients.closedConnections();
+            turn.add(new NetAction.Log(closed.owedAnswers() == 0 ? Level.INFO : Level.WARN, closed.logLine()));
+            turn.add(new NetAction.Stopped());
+        }
+    }
+
+    private long nextShutdownStep() {
+        if (stopped || shutdownDeadline == Long.MAX_VALUE) {
+            return Long.MAX_VALUE;
+        }
+        return turn.now() < acceptsUntil ? acceptsUntil : shutdownDeadline;
     }
 
     private void start() {
@@ -222,6 +271,8 @@
                     migration -> {});
         } else if (command instanceof DrainShardCommand drain) {
             log.submit(() -> state.drain(drain.shard(), drain.on(), IN_PROCESS_INITIATOR, turn.now()), t -> {});
+        } else if (command instanceof Shutdown) {
+            shutDown();
         } else if (command instanceof AdoptCommand) {
             adoption.begin(IN_PROCESS_INITIATOR, false, (ok, findings) -> {
                 Level level = ok ? Level.INFO : Level.WARN;
@@ -267,7 +318,8 @@
         if (!started) {
             return turn.now();
         }
-        long next = Math.min(clients.nextDeadline(), Math.min(nodes.nextDeadline(), nodeList.nextDeadline()));
+        long next = Math.min(nextShutdownStep(), clients.nextDeadline());
+        next = Math.min(next, Math.min(nodes.nextDeadline(), nodeList.nextDeadline()));
         if (!subscribedToNodeList) {
             next = Math.min(next, nodeListRetryAt);
         }
