Commands before malformed input are answered by the map service

What callers saw: a message that can't be parsed reset the connection, and with it the answers to the commands before.

Cause: MapClientConnections aborted the connection and forgot it. It ends by the row PROTOCOL_ERROR of the table of endings now.

--- a/mapservice/src/main/java/garnetreel/mapservice/MapClientConnections.java
+++ b/mapservice/src/main/java/garnetreel/mapservice/MapClientConnections.java
@@ -131,8 +131,7 @@
             }
         } catch (ProtocolException e) {
             turn.warn("client connection " + connectionId + ": " + e.getMessage());
-            turn.add(new NetAction.Close(connectionId, true));
-            clients.remove(connectionId);
+            end(client, ConnectionEnding.PROTOCOL_ERROR);
         }
     }
 
--- a/mapservice/src/test/java/garnetreel/mapservice/MapClientEndingsTest.java
+++ b/mapservice/src/test/java/garnetreel/mapservice/MapClientEndingsTest.java
@@ -122,6 +122,17 @@
         assertEquals(0, clients.closedConnections().owedAnswers());
     }
 
+    /** A protocol error reset the connection, and with it the answers to the commands before. */
+    @Test
+    void commandsBeforeAProtocolErrorAreAnswered() {
+        receive(move());
+        receive(new Busy(5));
+        answers.get(0).accept(DONE);
+        List<NetAction> actions = fixture.actions();
+        assertEquals(List.of(DONE), sent(actions));
+        assertTrue(actions.contains(new NetAction.Close(1, false)));
+    }
+
     /** A client that connects in the turn of the shutdown or after it is refused, and its connection ends. */
     @Test
     void clientsThatConnectAfterShutdownAreRefused() {
