A process that shuts down waits half a second longer for its last answers to be read

What callers saw: a request that ends at the longest deadline was answered in the moment in which the process closed its sockets: the process ended with 1, and the answer could be cut.

Cause: the state machine's time for the shutdown and the process's limit were the same.

--- a/cli/src/main/java/garnetreel/cli/MapServiceCommand.java
+++ b/cli/src/main/java/garnetreel/cli/MapServiceCommand.java
@@ -25,9 +25,6 @@
         mixinStandardHelpOptions = true,
         description = "Runs the map service: stores extent maps, publishes them to gateways, and migrates extents.")
 final class MapServiceCommand implements Callable<Integer> {
-    /** Time for clients to close their side of connections after their last answer, in microseconds. */
-    private static final long LINGER_MICROS = 1_000_000;
-
     @Spec
     CommandSpec spec;
 
@@ -46,7 +43,7 @@
         EventLoop service = start(process, settings, listen, Path.of(directory));
         spec.commandLine().getOut().println("ready map://" + ServiceProcess.bound(service, MapService.LISTENER));
         spec.commandLine().getOut().flush();
-        process.shutDownBeforeExit(service, new MapService.Shutdown(), MapService.SHUTDOWN_MICROS + LINGER_MICROS);
+        process.shutDownBeforeExit(service, new MapService.Shutdown(), MapService.SHUTDOWN_MICROS);
         return ServiceProcess.awaitStopped(service);
     }
 
--- a/cli/src/main/java/garnetreel/cli/ServiceProcess.java
+++ b/cli/src/main/java/garnetreel/cli/ServiceProcess.java
@@ -20,6 +20,8 @@
 /** The state machines of this process, each on its own event loop, all with the same clock. */
 public final class ServiceProcess implements AutoCloseable {
     private static final int BIND_SECONDS = 10;
+    /** Time for the last answers of a shutdown to be read, in microseconds. */
+    private static final long CLOSING_MICROS = 500_000;
 
     /** The clock of all state machines in this process. */
     public final Clock clock = Clock.system();
@@ -92,23 +94,25 @@
     }
 
     /**
-     * Makes SIGTERM drain the gateway: it accepts no new requests and answers all that it has accepted. The process then exits
-     * with 0, or with 1 when the drain takes longer than the longest deadline of a request.
+     * Makes SIGTERM drain the gateway: it refuses new requests and answers all that it has accepted, for the longest deadline of
+     * a request at most.
      */
     public void drainOnShutdown(EventLoop gateway, long longestDeadlineMicros) {
         shutDownBeforeExit(gateway, new Gateway.Shutdown(), longestDeadlineMicros);
     }
 
     /**
-     * Makes SIGTERM shut a state machine down by a command. The process then exits with 0, or with 1 when the state
-     * machine has not stopped within the limit.
+     * Makes SIGTERM shut a state machine down by a command. The process then exits with 0, or with 1 if the state machine has not
+     * stopped within its limit, or clients have not closed their side of a connection {@link #CLOSING_MICROS} after that.
+     *
+     * @param limitMicros time in which the state machine stops by itself
      */
     void shutDownBeforeExit(EventLoop eventLoop, NetEvent.Command shutdown, long limitMicros) {
         ProcessSignals.beforeExit("drain", () -> {
             eventLoop.submitCommand(shutdown);
             int code = ExitCode.OK;
             try {
-                eventLoop.stopped().get(limitMicros, TimeUnit.MICROSECONDS);
+                eventLoop.stopped().get(limitMicros + CLOSING_MICROS, TimeUnit.MICROSECONDS);
             } catch (InterruptedException | ExecutionException | TimeoutException e) {
                 // The interrupt flag is not restored: close() must complete pending writes before the JVM halts.
                 code = ExitCode.FAILED;
