--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenNbdClient.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenNbdClient.java
@@ -39,6 +39,7 @@
     private boolean closed;
     private long closedAt;
     private long lastCookie;
+    private int repliesTwice;
 
     /** Connects and opens an export. */
     DrivenNbdClient(DrivenGateway gateway, String export) {
@@ -110,6 +111,16 @@
                 .toList();
     }
 
+    /** Number of replies to requests that had one already. */
+    int repliesTwice() {
+        return repliesTwice;
+    }
+
+    /** Cookie of the last request that was sent. */
+    long lastCookie() {
+        return lastCookie;
+    }
+
     /** Number of replies to requests. */
     int replies() {
         return replies.size();
@@ -122,7 +133,9 @@
 
     /** Sends the header of a write and the beginning of its data, and returns its cookie. */
     long beginWrite(long offset, int length, int sent) {
-        gateway.send(connectionId, request(Nbd.CMD_WRITE, ++lastCookie, offset, length, new byte[sent]));
+        readLengths.put(++lastCookie, 0);
+        unanswered.put(lastCookie, gateway.now());
+        gateway.send(connectionId, request(Nbd.CMD_WRITE, lastCookie, offset, length, new byte[sent]));
         return lastCookie;
     }
 
@@ -215,7 +228,9 @@
             return false;
         }
         input.skip(SIMPLE_REPLY_LENGTH);
-        replies.put(cookie, new Reply(error, input.take(length)));
+        if (replies.put(cookie, new Reply(error, input.take(length))) != null) {
+            repliesTwice++;
+        }
         unanswered.remove(cookie);
         return true;
     }
