An answer written in the last turn of a shutdown is sent, not thrown away with a reset

What callers would have seen: a gateway that is held up at the last deadline of a shutdown writes an answer in the turn in which its time is over, and resets the connection in the same turn.

Cause: every connection with unsent replies was ended as one whose client does not read. Only replies of which the client has taken no byte for 1 s count as unread now; others are sent before the process ends.

The driven gateway now models a reset: what its turn has written is lost.

--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenGateway.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenGateway.java
@@ -40,6 +40,8 @@
     private Gateway gateway;
     private long now = START_MICROS;
     private long lastClientId;
+    private final List<NetAction.Write> unflushed = new ArrayList<>();
+    private final List<Long> closing = new ArrayList<>();
     private final Set<Long> nonReaders = new HashSet<>();
     private final Set<Long> withoutWrittenEvents = new HashSet<>();
     private boolean appendsHeld;
@@ -193,6 +195,12 @@
         }
     }
 
+    /** Lets time pass without a turn, as if the process were held up. */
+    void holdUp(long micros) {
+        now += micros;
+        turn();
+    }
+
     private void deliverNodeAnswers() {
         for (DrivenNode node : nodesByAddress.values()) {
             node.runUntil(
@@ -213,6 +221,7 @@
             List<NetAction> actions = new ArrayList<>();
             gateway.handle(now, events, actions);
             actions.forEach(this::perform);
+            flush();
             deliverNodeAnswers();
         } while (!pendingEvents.isEmpty() || gateway.nextDeadline() <= now);
         inTurn = false;
@@ -222,13 +231,13 @@
         if (action instanceof NetAction.Connect connect) {
             connectToNode(connect);
         } else if (action instanceof NetAction.Write write) {
-            write(write);
+            unflushed.add(write);
         } else if (action instanceof NetAction.Close close) {
             nodeConnections.remove(close.connectionId());
-            DrivenClient client = clients.remove(close.connectionId());
-            if (client != null) {
-                client.closed();
+            if (close.abort()) {
+                unflushed.removeIf(write -> write.connectionId() == close.connectionId());
             }
+            closing.add(close.connectionId());
         } else if (action instanceof NetAction.Stopped) {
             stopped = true;
         } else if (action instanceof NetAction.Append append) {
@@ -244,6 +253,19 @@
         }
     }
 
+    /** Delivers what a turn has written, unless its connection was reset in the same turn, then the ends of connections. */
+    private void flush() {
+        List.copyOf(unflushed).forEach(this::write);
+        unflushed.clear();
+        for (long connectionId : List.copyOf(closing)) {
+            DrivenClient client = clients.remove(connectionId);
+            if (client != null) {
+                client.closed();
+            }
+        }
+        closing.clear();
+    }
+
     private void connectToNode(NetAction.Connect connect) {
         DrivenNode node = nodesByAddress.get(connect.address());
         if (node == null) { // the node list, which never answers
--- a/cli/src/test/java/garnetreel/cli/testing/driven/NbdEndingsTest.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/NbdEndingsTest.java
@@ -169,6 +169,18 @@
         assertStopsInTime();
     }
 
+    /** An answer that was written in the turn in which the shutdown's time was over was thrown away with a reset. */
+    @Test
+    void anAnswerOfTheLastTurnIsSent() {
+        node.hangInNextWrite(2 * DrivenSettings.TIME_LIMIT_MICROS);
+        long write = client.write(0, new byte[BLOCK]);
+        gateway.shutDown();
+        gateway.advance(DrivenSettings.TIME_LIMIT_MICROS - 10 * SETTLE_MICROS);
+        gateway.holdUp(20 * SETTLE_MICROS);
+        assertError(Nbd.EIO, write);
+        assertTrue(gateway.isStopped());
+    }
+
     /** Replies that nobody reads don't keep the gateway from stopping. */
     @Test
     void aClientThatReadsNothingDoesNotHoldUpTheShutdown() {
--- a/core/src/main/java/garnetreel/core/ending/DrainTimes.java
+++ b/core/src/main/java/garnetreel/core/ending/DrainTimes.java
@@ -9,6 +9,8 @@
     /** Time in which a client has to take a byte of its replies. */
     public static final long UNREAD_REPLIES_MICROS = 5_000_000;
 
+    /** At the end of a shutdown: time without a byte taken after which replies count as unread. */
+    public static final long UNREAD_AT_SHUTDOWN_MICROS = 1_000_000;
     /** Part of a shutdown's time that is kept for the client to read why its transfer has ended. */
     private static final long FAREWELL_MICROS = 1_000_000;
 
--- a/core/src/main/java/garnetreel/core/server/NbdSession.java
+++ b/core/src/main/java/garnetreel/core/server/NbdSession.java
@@ -9,6 +9,7 @@
 import garnetreel.core.GatewaySettings;
 import garnetreel.core.Volume;
 import garnetreel.core.ending.ConnectionEnding;
+import garnetreel.core.ending.DrainTimes;
 import garnetreel.core.io.NetAction;
 import garnetreel.core.server.RequestValidator.RequestError;
 import java.nio.ByteBuffer;
@@ -104,7 +105,7 @@
     @Override
     protected boolean isSettled() {
         return inProgress.isEmpty()
-                && !hasUnsentReplies()
+                && bytes.unsent() == 0
                 && !ending.awaitsInput(server.time(), lastReceivedAt(), hasPartialMessage());
     }
 
@@ -131,8 +132,8 @@
     }
 
     @Override
-    protected boolean hasUnsentReplies() {
-        return bytes.unsent() > 0;
+    protected boolean repliesUnreadFor(long micros) {
+        return bytes.unsent() > 0 && stalls.nothingSentFor(server.time(), micros);
     }
 
     @Override
@@ -174,7 +175,8 @@
                 && stalls.payloadStalled(server.time(), requests.receivedPayloadBytes(), othersWait);
         if (stalled && !ending.discardsInput()) {
             endStalled(ConnectionEnding.STALLED, "sends a payload too slowly");
-        } else if (bytes.unsent() > 0 && stalls.repliesStalled(server.time(), othersWait, ending.hasBegun())) {
+        } else if (othersWait && repliesUnreadFor(StallDetector.TIMEOUT_MICROS)
+                || ending.hasBegun() && repliesUnreadFor(DrainTimes.UNREAD_REPLIES_MICROS)) {
             endStalled(ConnectionEnding.REPLIES_UNREAD, "does not read its replies");
         }
     }
--- a/core/src/main/java/garnetreel/core/server/ProtocolServer.java
+++ b/core/src/main/java/garnetreel/core/server/ProtocolServer.java
@@ -3,6 +3,7 @@
 import garnetreel.core.GatewaySettings;
 import garnetreel.core.ending.ClosedConnections;
 import garnetreel.core.ending.ConnectionEnding;
+import garnetreel.core.ending.DrainTimes;
 import garnetreel.core.ending.EndingProgress;
 import garnetreel.core.io.ConnectionHandler;
 import garnetreel.core.io.NetAction;
@@ -71,8 +72,8 @@
         /** Writes the last words to the client. Called right before the connection is closed, if its end owes answers. */
         protected abstract void writeLastWords();
 
-        /** Whether replies have been written that have not been sent. */
-        protected abstract boolean hasUnsentReplies();
+        /** Whether replies have been written of which the client has taken no byte for a time in microseconds. */
+        protected abstract boolean repliesUnreadFor(long micros);
 
         /** Fails what is in progress, as the time for the shutdown is over. */
         protected abstract void failRequestsInProgress();
@@ -120,7 +121,7 @@
             if (closed) {
                 return;
             }
-            if (hasUnsentReplies()) {
+            if (repliesUnreadFor(DrainTimes.UNREAD_AT_SHUTDOWN_MICROS)) {
                 end(ConnectionEnding.REPLIES_UNREAD);
                 return;
             }
--- a/core/src/main/java/garnetreel/core/server/StallDetector.java
+++ b/core/src/main/java/garnetreel/core/server/StallDetector.java
@@ -1,14 +1,12 @@
 package garnetreel.core.server;
 
-import garnetreel.core.ending.DrainTimes;
-
 /**
  * Tells when a client that holds bytes of the gateway's budget makes no progress: it has stopped within a write's
  * payload, or holds up connections that wait for capacity.
  */
 final class StallDetector {
     /** Time without a byte after which a client counts as stopped within a request, or as not reading its replies. */
-    private static final long TIMEOUT_MICROS = 2_500_000;
+    static final long TIMEOUT_MICROS = 2_500_000;
     /** Lowest rate at which a payload has to come while other connections wait for capacity, after the time above. */
     private static final long MIN_PAYLOAD_BYTES_PER_SECOND = 1 << 20;
 
@@ -47,12 +45,8 @@
         return now - lastReceivedAt >= TIMEOUT_MICROS || othersWait && now - payloadBeganAt >= allowedTime;
     }
 
-    /**
-     * Whether the client reads none of the replies that wait for it, while other connections wait for capacity or while
-     * this one is about to end.
-     */
-    boolean repliesStalled(long now, boolean othersWait, boolean ending) {
-        long silent = now - lastSentAt;
-        return othersWait && silent >= TIMEOUT_MICROS || ending && silent >= DrainTimes.UNREAD_REPLIES_MICROS;
+    /** Whether no byte of the replies that wait for the client was sent for a time. */
+    boolean nothingSentFor(long now, long micros) {
+        return now - lastSentAt >= micros;
     }
 }
--- a/core/src/main/java/garnetreel/core/server/rsync/RsyncSession.java
+++ b/core/src/main/java/garnetreel/core/server/rsync/RsyncSession.java
@@ -154,8 +154,8 @@
     protected void writeLastWords() {}
 
     @Override
-    protected boolean hasUnsentReplies() {
-        return outbound > 0;
+    protected boolean repliesUnreadFor(long micros) {
+        return outbound > 0 && server.time() - lastTakenAt >= micros;
     }
 
     @Override
@@ -181,7 +181,7 @@
 
     /** Called once a second: closes a connection that is idle or not read, or sends a keep-alive if one is due. */
     void checkIdle() {
-        if (ending.hasBegun() && outbound > 0 && server.time() - lastTakenAt >= DrainTimes.UNREAD_REPLIES_MICROS) {
+        if (ending.hasBegun() && repliesUnreadFor(DrainTimes.UNREAD_REPLIES_MICROS)) {
             end(ConnectionEnding.REPLIES_UNREAD);
         } else if (server.time() - lastReceivedAt() > IDLE_TIMEOUT_US) {
             server.emit(new NetAction.Log(
