Test: the random endings have pushes over rsync and a process that is held up

Need: the fault of the last turn of a shutdown needs a process that is held up; pushes share the gateway's end.

--- a/cli/src/test/java/garnetreel/cli/testing/driven/DrivenRsyncClient.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/DrivenRsyncClient.java
@@ -20,6 +20,9 @@
 
 /** An rsync client of a {@link DrivenGateway}: one push or pull of regular files, with whole contents. */
 final class DrivenRsyncClient implements DrivenGateway.DrivenClient {
+    /** The error of a transfer whose connection was closed before it had ended. */
+    static final String CLOSED = "the connection was closed";
+
     /** A file of a push. */
     record PushedFile(String name, int permissions, long modified, byte[] contents) {}
 
@@ -136,7 +139,7 @@
     public void closed() {
         closed = true;
         if (!ended) {
-            errors += "the connection was closed";
+            errors += CLOSED;
         }
     }
 
--- a/cli/src/test/java/garnetreel/cli/testing/driven/EndingsSoakTest.java
+++ b/cli/src/test/java/garnetreel/cli/testing/driven/EndingsSoakTest.java
@@ -9,8 +9,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * NBD clients that do all that clients do, at random, and a shutdown at a random time. The seeds are fixed; more of them
- * are played with {@code -Dendings.seeds=FIRST-LAST}.
+ * NBD clients that do all that clients do, at random, pushes over rsync, a process that is held up now and then, and a
+ * shutdown at a random time. The seeds are fixed; more of them are played with {@code -Dendings.seeds=FIRST-LAST}.
  */
 class EndingsSoakTest {
     private static final String SEEDS = System.getProperty("endings.seeds", "1-150");
@@ -22,7 +22,10 @@
 
     private static final int MAX_STEP_MICROS = 20_000;
     private static final int MAX_HANG_MICROS = 3_000_000;
+    private static final int MAX_HOLD_UP_MICROS = 300_000;
     private static final int MAX_PIPELINED = 300;
+    private static final int MAX_PUSHES = 3;
+    private static final int MAX_FILE_BYTES = 60_000;
     /** Requests sent in this time before the end of their connection may cross it. */
     private static final long CROSSING_MICROS = 100_000;
 
@@ -134,6 +137,7 @@
         DrivenNode node = new DrivenNode(0, DrivenSettings.VOLUME_BYTES);
         DrivenGateway gateway = new DrivenGateway(DrivenSettings.on(0), List.of(node));
         List<RandomClient> clients = new ArrayList<>();
+        List<DrivenRsyncClient> pushes = new ArrayList<>();
         int shutdownAt = random.nextInt(STEPS);
         for (int step = 0; step < STEPS; step++) {
             if (step == shutdownAt) {
@@ -145,7 +149,13 @@
             if (random.nextInt(3) == 0) {
                 node.hangInNextWrite(random.nextInt(MAX_HANG_MICROS));
             }
+            if (pushes.size() < MAX_PUSHES && random.nextInt(20) == 0) {
+                pushes.add(push(gateway, "file-" + pushes.size(), random.nextInt(MAX_FILE_BYTES)));
+            }
             clients.forEach(RandomClient::act);
+            if (random.nextInt(20) == 0) {
+                gateway.holdUp(random.nextInt(MAX_HOLD_UP_MICROS));
+            }
             gateway.advance(1 + random.nextInt(MAX_STEP_MICROS));
         }
         gateway.advance(DrivenSettings.TIME_LIMIT_MICROS);
@@ -156,5 +166,15 @@
             assertEquals(List.of(), client.lost(), where + ": requests without an answer");
             assertEquals(0, client.client.repliesTwice(), where + ": replies sent twice");
         }
+        for (DrivenRsyncClient push : pushes) {
+            boolean told = !push.errors().isEmpty() && !push.errors().equals(DrivenRsyncClient.CLOSED);
+            assertTrue(push.isConfirmed() || told, where + ": a push that was not told of its end: " + push.errors());
+        }
+    }
+
+    private static DrivenRsyncClient push(DrivenGateway gateway, String name, int bytes) {
+        DrivenRsyncClient.PushedFile file =
+                new DrivenRsyncClient.PushedFile(name, 0644, 1_700_000_000, new byte[1 + bytes]);
+        return DrivenRsyncClient.push(gateway, DrivenSettings.MODULE, file);
     }
 }
