--- a/cli/src/test/java/garnetreel/cli/SignalsTest.java
+++ b/cli/src/test/java/garnetreel/cli/SignalsTest.java
@@ -4,10 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import garnetreel.cli.lifecycle.ExitCode;
+import garnetreel.net.Addresses;
 import garnetreel.testbed.peer.ScriptedPeer;
 import garnetreel.testbed.peer.ScriptedPeer.PeerConnection;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -83,6 +86,45 @@
         assertEquals(ExitCode.OK, process.awaitExit());
     }
 
+    /** A client that always has a further request on its way, and reads all responses, kept the process from ending. */
+    @Test
+    void sigtermEndsDespiteAClientThatSendsWithoutEnd() throws Exception {
+        run(SocketGatewayHarness.text(discovery.address(), endpoint.address())
+                .replace("\"aim\": 20, \"hard-limit\": 60", "\"aim\": 0.4, \"hard-limit\": 1"));
+        InetSocketAddress address = Addresses.parse(process.awaitAddress());
+        try (Socket client = new Socket(address.getAddress(), address.getPort())) {
+            startDaemon(() -> sendWithoutEnd(client));
+            startDaemon(() -> readToEnd(client));
+            signal("TERM");
+            assertEquals(ExitCode.OK, process.awaitExit());
+        }
+    }
+
+    private static void startDaemon(Runnable task) {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void sendWithoutEnd(Socket client) {
+        try {
+            for (int i = 1; ; i++) {
+                client.getOutputStream()
+                        .write(SocketGatewayHarness.request(i, 1).getBytes(StandardCharsets.ISO_8859_1));
+            }
+        } catch (IOException e) {
+            // the gateway has closed the connection
+        }
+    }
+
+    private static void readToEnd(Socket client) {
+        try {
+            client.getInputStream().transferTo(OutputStream.nullOutputStream());
+        } catch (IOException e) {
+            // a reset, as the client has sent much that nobody reads any more
+        }
+    }
+
     /**
      * An invalid file changes nothing, and the log names the field; a valid one changes the discovery address at once.
      */
